--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,16 @@
+/** Public index of the core: kernel, commands, invariants, errors, findings and results. */
+export {
+	BaseError, InputError, InvariantError, UnavailableError,
+} from './errors.js';
+export {invariant, unreachable} from './invariant.js';
+export {formatFinding, type Finding} from './finding.js';
+export {failed, ok, type Result} from './result.js';
+export {
+	createCommand,
+	Kernel,
+	mergeTeardowns,
+	type Command,
+	type CommandHandler,
+	type Teardown,
+	type UpdateListener,
+} from './kernel.js';
--- /dev/null
+++ b/packages/tooling/src/find-tests.ts
@@ -0,0 +1,10 @@
+import {readdirSync} from 'node:fs';
+import path from 'node:path';
+
+/** Lists compiled test files below `root`, sorted, as paths relative to the current directory. */
+export function findTests(root: string): readonly string[] {
+	return readdirSync(root, {recursive: true, encoding: 'utf8'})
+		.filter(file => file.includes('__tests__') && file.endsWith('.test.js'))
+		.map(file => path.join(root, file))
+		.toSorted();
+}
--- /dev/null
+++ b/packages/tooling/src/index.ts
@@ -0,0 +1,3 @@
+/** Runners for tests and fuzzing. Development only. */
+export {findTests} from './find-tests.js';
+export {readKnownRed} from './known-red.js';
