--- a/packages/tooling/src/run-tests.ts
+++ b/packages/tooling/src/run-tests.ts
@@ -5,6 +5,7 @@
  */
 import {spawn} from 'node:child_process';
 import process from 'node:process';
+import {InputError} from '#core';
 import {findTests, readKnownRed} from '#tooling';
 
 const JOBS = 5;
@@ -18,8 +19,7 @@
 }
 
 if (tests.length === 0) {
-	console.error('no test matches');
-	process.exit(2);
+	throw new InputError(`no test matches ${wanted.join(' ')}`);
 }
 
 const tap = spawn('node_modules/.bin/tap', ['run', `--jobs=${JOBS}`, ...tests], {stdio: ['ignore', 'pipe', 'inherit']});
