Add the protocol between processes, telemetry and the back-end clients

Cause: entry and endpoint processes need authenticated links, and work at a back end must tell exactly whether a request can have run. Change: messages with a schema per kind and positional encoding; a handshake with proofs of the shared key from both sides; a MAC and a number on each WebSocket message; link pool with shared dials and questions by topic; bunyan logs; prom-client counters and HDR histograms; engine and service clients that tell not-sent from lost. Ruled out: msgpackr records, whose shared structures are state of the connection that a refused message would corrupt; TLS between processes for now, since the MAC already refuses altered and replayed messages. Figures: a load report takes at most 64 bytes on the link (checked by a test).

--- /dev/null
+++ b/packages/engine/src/backend.ts
@@ -0,0 +1,86 @@
+/**
+ * Work at a back end over HTTP. Tells exactly whether a request can have reached the
+ * back end, since a refusal may say `not-run` only where that is certain.
+ */
+import {Buffer} from 'node:buffer';
+import {type Dispatcher, Pool} from 'undici';
+
+/** Connections that a process keeps to its back end; one for each request that runs. */
+const MAX_CONNECTIONS = 512;
+
+/** A request for the back end. */
+export type BackendRequest = {
+	readonly method: string;
+	readonly path: string;
+	readonly headers: Readonly<Record<string, string>>;
+	readonly body: Uint8Array;
+	readonly signal: AbortSignal;
+};
+
+/** What the back end did with a request before any byte of its answer's body. */
+export type BackendAnswer
+	= | {readonly kind: 'head'; readonly status: number; readonly headers: Readonly<Record<string, string>>; readonly body: AsyncIterable<Uint8Array>}
+	/** The connection was not made: the request did not run. */
+		| {readonly kind: 'not-sent'; readonly message: string}
+	/** The connection was lost after the request was sent. */
+		| {readonly kind: 'lost'; readonly message: string}
+		| {readonly kind: 'aborted'};
+
+const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT', 'EADDRNOTAVAIL']);
+const PASSED_ON_HEADERS = new Set(['content-type', 'retry-after', 'cache-control', 'location', 'x-not-run']);
+
+function pickHeaders(headers: Dispatcher.ResponseData['headers']): Readonly<Record<string, string>> {
+	return Object.fromEntries(Object.entries(headers)
+		.filter(([name, value]) => PASSED_ON_HEADERS.has(name) && value !== undefined)
+		.map(([name, value]) => [name, Array.isArray(value) ? value.join(', ') : value ?? '']));
+}
+
+function codeOf(error: unknown): string {
+	return error instanceof Error && 'code' in error && typeof error.code === 'string' ? error.code : '';
+}
+
+/** HTTP client of one back end on loopback. */
+export class Backend {
+	/** @param url - Base URL, for example `http://127.0.0.1:8001`. */
+	static create(url: string): Backend {
+		return new Backend(new Pool(url, {
+			connections: MAX_CONNECTIONS, pipelining: 1, headersTimeout: 0, bodyTimeout: 0, connectTimeout: 2000, keepAliveTimeout: 30_000,
+		}));
+	}
+
+	readonly #pool: Pool;
+
+	private constructor(pool: Pool) {
+		this.#pool = pool;
+	}
+
+	/** Sends a request and waits for the head of the answer. Does not throw. */
+	async send(req: BackendRequest): Promise<BackendAnswer> {
+		try {
+			const res = await this.#pool.request({
+				method: req.method,
+				path: req.path,
+				headers: req.headers,
+				body: req.body.length === 0 ? null : Buffer.from(req.body.buffer, req.body.byteOffset, req.body.length),
+				signal: req.signal,
+				// A request that was written once is never written again by the client library.
+				idempotent: false,
+			});
+			return {
+				kind: 'head', status: res.statusCode, headers: pickHeaders(res.headers), body: res.body as AsyncIterable<Uint8Array>,
+			};
+		} catch (error) {
+			if (req.signal.aborted) {
+				return {kind: 'aborted'};
+			}
+
+			const message = error instanceof Error ? error.message : String(error);
+			return NOT_SENT_CODES.has(codeOf(error)) ? {kind: 'not-sent', message} : {kind: 'lost', message};
+		}
+	}
+
+	/** Closes the connections without waiting. */
+	async close(): Promise<void> {
+		await this.#pool.destroy();
+	}
+}
--- /dev/null
+++ b/packages/protocol/__tests__/unit/link-pool.test.ts
@@ -0,0 +1,79 @@
+import {once} from 'node:events';
+import t from 'tap';
+import {UnavailableError} from '#core';
+import {LinkPool, PeerServer, type PeerIdentity} from '#protocol';
+
+const identity = (id: string): PeerIdentity => ({
+	id, role: 'entry', region: 'r', zone: 'z', address: '127.0.0.1:1', incarnation: 'i',
+});
+
+async function createServer(signal: AbortSignal, sharedKey = 'key-of-the-fleet') {
+	const refused: string[] = [];
+	const onRefused = (reason: string) => {
+		refused.push(reason);
+	};
+
+	const pool = LinkPool.create({
+		sharedKey, identity: () => identity('server'), onRefused, signal,
+	});
+	const server = await PeerServer.create({
+		host: '127.0.0.1',
+		port: 0,
+		sharedKey,
+		identity: () => identity('server'),
+		onLink(link) {
+			pool.add(link);
+		},
+		onRefused,
+		signal,
+	});
+	return {pool, address: `127.0.0.1:${server.port}`, refused};
+}
+
+function createClient(signal: AbortSignal, sharedKey = 'key-of-the-fleet') {
+	const onRefused = (reason: string) => {
+		t.comment(reason);
+	};
+
+	return LinkPool.create({
+		sharedKey, identity: () => identity('client'), onRefused, signal,
+	});
+}
+
+await t.test('two callers share one dial, and a question gets its answer', async t => {
+	const stop = new AbortController();
+	const {pool, address} = await createServer(stop.signal);
+	pool.registerTopic('double', async payload => Number(payload) * 2);
+	const client = createClient(stop.signal);
+	const [a, b] = await Promise.all([client.link('server', address), client.link('server', address)]);
+	t.equal(a, b);
+	t.equal(await client.ask(a, 'double', 21), 42);
+	await t.rejects(client.ask(a, 'no such topic', 1, 100), UnavailableError);
+	stop.abort();
+	if (!a.closed.aborted) {
+		await once(a.closed, 'abort');
+	}
+
+	t.equal(a.send({kind: 'bye', reason: 'late'}), false, 'a closed link says that nothing was sent');
+	await t.rejects(client.ask(a, 'double', 1), UnavailableError);
+});
+
+await t.test('a peer with another key is heard by nobody', async t => {
+	const stop = new AbortController();
+	const {pool, address, refused} = await createServer(stop.signal);
+	const client = createClient(stop.signal, 'key-of-another-fleet');
+	await t.rejects(client.dial(address));
+	t.match(refused.join(','), /wrong proof/u);
+	t.equal(pool.links.length, 0);
+	stop.abort();
+});
+
+await t.test('a peer that cannot be reached is not dialled again at once', async t => {
+	const stop = new AbortController();
+	const {address} = await createServer(stop.signal);
+	const port = Number(address.split(':')[1]);
+	stop.abort();
+	const client = createClient(new AbortController().signal);
+	await t.rejects(client.dial(`127.0.0.1:${port === 65_535 ? port - 1 : port + 1}`));
+	await t.rejects(client.dial(`127.0.0.1:${port === 65_535 ? port - 1 : port + 1}`), /a moment ago/u);
+});
--- /dev/null
+++ b/packages/protocol/__tests__/unit/session.test.ts
@@ -0,0 +1,96 @@
+import t from 'tap';
+import {InputError} from '#core';
+import {
+	acceptHello, answerChallenge, checkWelcome, createChallenge, encodeHandshake, PROTOCOL_VERSION, Session, type Message, type PeerIdentity,
+} from '#protocol';
+
+const KEY = 'a shared key for tests';
+const identity = (id: string): PeerIdentity => ({
+	id, role: 'entry', region: 'lk-west', zone: 'colombo-a', address: '127.0.0.1:1', incarnation: 'i1',
+});
+const load: [number, number, number, number, number, boolean] = [10, 2, 30.5, 40, 5, false];
+
+function createPair() {
+	const challenge = createChallenge();
+	const {hello} = answerChallenge(encodeHandshake(challenge), KEY, identity('dialler'));
+	return {
+		dialled: Session.create(KEY, challenge, hello, 'dialled'),
+		accepted: Session.create(KEY, challenge, hello, 'accepted'),
+	};
+}
+
+const messages: readonly Message[] = [
+	{
+		kind: 'report', load, configVersion: 7, mapVersion: 3,
+	},
+	{
+		kind: 'chunk', requestId: 'r1', attempt: 1, offset: 0, data: new Uint8Array([1, 2, 3]),
+	},
+	{
+		kind: 'ask', id: 1, topic: 'claim', payload: {a: [1, 'x']},
+	},
+	{kind: 'leaving', leaving: true},
+];
+
+await t.test('messages survive the wire in order', async t => {
+	const {dialled, accepted} = createPair();
+	const received = accepted.decode(dialled.encode(messages));
+	t.same(received.map(message => message.kind), messages.map(message => message.kind));
+	t.same(received[0], messages[0]);
+	t.same([...(received[1] as {data: Uint8Array}).data], [1, 2, 3]);
+});
+
+await t.test('a load report stays small, so that 64 subscriptions fit the control budget', async t => {
+	const {dialled} = createPair();
+	t.ok(dialled.encode(messages.slice(0, 1)).length <= 64);
+});
+
+await t.test('a message that must not be accepted closes the session with a reason', async t => {
+	const table: ReadonlyArray<{readonly name: string; readonly alter: (data: Uint8Array, next: Uint8Array) => readonly Uint8Array[]}> = [
+		{name: 'replayed', alter: data => [data, data]},
+		{name: 'one lost before it', alter: (_data, next) => [next]},
+		{
+			name: 'one byte changed', alter(data) {
+				const changed = Uint8Array.from(data);
+				changed[20] = 255 - (changed[20] ?? 0);
+				return [changed];
+			},
+		},
+		{name: 'too short', alter: () => [new Uint8Array(4)]},
+		{name: 'too large', alter: () => [new Uint8Array(2_000_000)]},
+	];
+	for (const {name, alter} of table) {
+		const {dialled, accepted} = createPair();
+		const data = alter(dialled.encode(messages), dialled.encode(messages));
+		t.throws(() => {
+			for (const part of data) {
+				accepted.decode(part);
+			}
+		}, InputError, name);
+	}
+});
+
+await t.test('a message of one side is refused when it is sent back to it', async t => {
+	const {dialled} = createPair();
+	t.throws(() => dialled.decode(dialled.encode(messages)), InputError);
+});
+
+await t.test('a body that fails its schema is refused', async t => {
+	const {dialled, accepted} = createPair();
+	const bad: unknown = {
+		kind: 'chunk', requestId: '', attempt: -1, offset: 0, data: 'text',
+	};
+	t.throws(() => accepted.decode(dialled.encode([bad as Message])), InputError);
+});
+
+await t.test('a peer without the shared key is refused on either side', async t => {
+	const challenge = createChallenge();
+	const wrong = answerChallenge(encodeHandshake(challenge), 'another key', identity('x'));
+	t.throws(() => acceptHello(encodeHandshake(wrong.hello), challenge, KEY, identity('server')), /wrong proof/u);
+	const {hello} = answerChallenge(encodeHandshake(challenge), KEY, identity('x'));
+	const {welcome} = acceptHello(encodeHandshake(hello), challenge, KEY, identity('server'));
+	t.equal(checkWelcome(encodeHandshake(welcome), challenge, hello, KEY).identity.id, 'server');
+	t.throws(() => checkWelcome(encodeHandshake({...welcome, identity: identity('another')}), challenge, hello, KEY), /wrong proof/u);
+	t.throws(() => answerChallenge(encodeHandshake({...challenge, version: (PROTOCOL_VERSION + 1) as 1}), KEY, identity('x')), /version/u);
+	t.throws(() => answerChallenge(new Uint8Array([0xC1]), KEY, identity('x')), InputError);
+});
--- /dev/null
+++ b/packages/protocol/src/dial-peer.ts
@@ -0,0 +1,83 @@
+/** Opens an authenticated connection to a peer. */
+import {WebSocket} from 'ws';
+import {PeerLink, toBytes} from './peer-link.js';
+import {MAX_MESSAGE_BYTES} from './messages.js';
+import {
+	answerChallenge, checkWelcome, encodeHandshake, Session, type PeerIdentity,
+} from './session.js';
+import {InputError, UnavailableError} from '#core';
+
+const DIAL_LIMIT_MS = 3000;
+
+/** Options of a dial. */
+export type DialOptions = {
+	/** IP address and port of the peer, for example `127.0.0.1:7001`. */
+	readonly address: string;
+	readonly sharedKey: string;
+	readonly identity: PeerIdentity;
+	readonly onRefused: (reason: string) => void;
+	/** Called before any message of the peer is handled, so that handlers can be registered. */
+	readonly onLink: (link: PeerLink) => void;
+	/** Gives up the dial; an open link is not affected. */
+	readonly signal: AbortSignal;
+};
+
+/**
+ * Dials a peer and runs the handshake.
+ *
+ * @throws UnavailableError when the peer cannot be reached in time.
+ * @throws InputError when the peer does not prove that it holds the shared key.
+ */
+export async function dialPeer(options: DialOptions): Promise<PeerLink> {
+	const {address, sharedKey, identity, onRefused} = options;
+	const socket = new WebSocket(`ws://${address}`, {maxPayload: MAX_MESSAGE_BYTES, perMessageDeflate: false, handshakeTimeout: DIAL_LIMIT_MS});
+	const limit = AbortSignal.any([options.signal, AbortSignal.timeout(DIAL_LIMIT_MS)]);
+	return new Promise((resolve, reject) => {
+		let handshake: ReturnType<typeof answerChallenge> | undefined;
+		const fail = (error: Error) => {
+			limit.removeEventListener('abort', onLimit);
+			socket.terminate();
+			reject(error);
+		};
+
+		const onLimit = () => {
+			fail(new UnavailableError(`peer ${address} did not finish the handshake in time`));
+		};
+
+		const onMessage = (data: Parameters<typeof toBytes>[0]) => {
+			try {
+				if (handshake === undefined) {
+					handshake = answerChallenge(toBytes(data), sharedKey, identity);
+					socket.send(encodeHandshake(handshake.hello));
+					return;
+				}
+
+				const welcome = checkWelcome(toBytes(data), handshake.challenge, handshake.hello, sharedKey);
+				limit.removeEventListener('abort', onLimit);
+				socket.off('message', onMessage);
+				socket.off('close', onClose);
+				const session = Session.create(sharedKey, handshake.challenge, handshake.hello, 'dialled');
+				const link = PeerLink.create({
+					socket, session, peer: welcome.identity, onRefused,
+				});
+				options.onLink(link);
+				resolve(link);
+			} catch (error) {
+				const reason = error instanceof Error ? error.message : 'handshake refused';
+				onRefused(reason);
+				fail(new InputError(reason));
+			}
+		};
+
+		const onClose = () => {
+			fail(new UnavailableError(`peer ${address} closed the connection during the handshake`));
+		};
+
+		limit.addEventListener('abort', onLimit, {once: true});
+		socket.on('error', error => {
+			fail(new UnavailableError(`peer ${address}: ${error.message}`));
+		});
+		socket.on('close', onClose);
+		socket.on('message', onMessage);
+	});
+}
--- /dev/null
+++ b/packages/protocol/src/peer-link.ts
@@ -0,0 +1,205 @@
+/**
+ * One authenticated connection to a peer. The link owns its socket; messages that are
+ * sent in the same turn of the event loop leave in one WebSocket message.
+ */
+import {Buffer} from 'node:buffer';
+import {type WebSocket, type RawData} from 'ws';
+import {
+	MAX_MESSAGE_BYTES, type Message, type MessageKind, type MessageOf,
+} from './messages.js';
+import {type PeerIdentity, type Session} from './session.js';
+import {type Teardown} from '#core';
+
+/** A batch is flushed before it reaches this many payload bytes. */
+const FLUSH_BYTES = MAX_MESSAGE_BYTES / 4;
+
+/** Estimate for messages without a payload of variable size. */
+const SMALL_MESSAGE_BYTES = 128;
+
+/** Handles one message of a kind. */
+export type MessageHandler<Kind extends MessageKind> = (message: MessageOf<Kind>) => void;
+
+/** Counts of one link since it opened. */
+export type LinkCounts = {
+	readonly bytesSent: number;
+	readonly bytesReceived: number;
+	readonly messagesSent: number;
+	readonly messagesReceived: number;
+};
+
+function payloadBytes(message: Message): number {
+	if (message.kind === 'work') {
+		return message.body.length;
+	}
+
+	if (message.kind === 'chunk') {
+		return message.data.length;
+	}
+
+	if (message.kind === 'config') {
+		return message.text.length;
+	}
+
+	return message.kind === 'directory' ? message.machines.length : SMALL_MESSAGE_BYTES;
+}
+
+/** Converts what the socket delivers into one byte array. */
+export function toBytes(data: RawData): Uint8Array {
+	if (Array.isArray(data)) {
+		return Buffer.concat(data);
+	}
+
+	return data instanceof ArrayBuffer ? new Uint8Array(data) : data;
+}
+
+export class PeerLink {
+	/** Wraps an authenticated socket. `onRefused` is told why a message was refused before the link closes. */
+	static create(options: {
+		readonly socket: WebSocket;
+		readonly session: Session;
+		readonly peer: PeerIdentity;
+		readonly onRefused: (reason: string) => void;
+	}): PeerLink {
+		return new PeerLink(options.socket, options.session, options.peer, options.onRefused);
+	}
+
+	readonly peer: PeerIdentity;
+	readonly #socket: WebSocket;
+	readonly #session: Session;
+	readonly #onRefused: (reason: string) => void;
+	readonly #closed = new AbortController();
+	readonly #handlers = new Map<MessageKind, Set<(message: Message) => void>>();
+	#outbox: Message[] = [];
+	#outboxBytes = 0;
+	#flushPlanned = false;
+	#heardAt = Date.now();
+	#counts: LinkCounts = {
+		bytesSent: 0, bytesReceived: 0, messagesSent: 0, messagesReceived: 0,
+	};
+
+	private constructor(socket: WebSocket, session: Session, peer: PeerIdentity, onRefused: (reason: string) => void) {
+		this.#socket = socket;
+		this.#session = session;
+		this.peer = peer;
+		this.#onRefused = onRefused;
+		socket.on('message', data => {
+			this.#receive(toBytes(data));
+		});
+		socket.on('close', () => {
+			this.#closed.abort();
+		});
+		socket.on('error', () => {
+			socket.terminate();
+		});
+	}
+
+	/** Aborted once the link is closed. */
+	get closed(): AbortSignal {
+		return this.#closed.signal;
+	}
+
+	/** Time at which the last message arrived, in milliseconds since the epoch. */
+	get heardAt(): number {
+		return this.#heardAt;
+	}
+
+	get counts(): LinkCounts {
+		return this.#counts;
+	}
+
+	/** Bytes that wait in the socket's send buffer. */
+	get backlogBytes(): number {
+		return this.#socket.bufferedAmount + this.#outboxBytes;
+	}
+
+	/** Registers a handler for one kind of message. */
+	registerMessage<Kind extends MessageKind>(kind: Kind, handler: MessageHandler<Kind>): Teardown {
+		const handlers = this.#handlers.get(kind) ?? new Set();
+		this.#handlers.set(kind, handlers);
+		const entry = handler as (message: Message) => void;
+		handlers.add(entry);
+		return () => {
+			handlers.delete(entry);
+		};
+	}
+
+	/**
+	 * Queues a message for sending.
+	 *
+	 * @returns False if the link is closed; the message was certainly not sent then.
+	 */
+	send(message: Message): boolean {
+		if (this.#closed.signal.aborted || this.#socket.readyState !== this.#socket.OPEN) {
+			return false;
+		}
+
+		this.#outbox.push(message);
+		this.#outboxBytes += payloadBytes(message);
+		if (this.#outboxBytes >= FLUSH_BYTES) {
+			this.#flush();
+		} else if (!this.#flushPlanned) {
+			this.#flushPlanned = true;
+			setImmediate(() => {
+				this.#flush();
+			});
+		}
+
+		return true;
+	}
+
+	/** Sends what is queued, then closes the connection. */
+	close(reason: string): void {
+		this.send({kind: 'bye', reason});
+		this.#flush();
+		this.#socket.close();
+	}
+
+	/** Closes the connection at once. */
+	terminate(): void {
+		this.#socket.terminate();
+	}
+
+	#flush(): void {
+		this.#flushPlanned = false;
+		if (this.#outbox.length === 0 || this.#socket.readyState !== this.#socket.OPEN) {
+			return;
+		}
+
+		const messages = this.#outbox;
+		this.#outbox = [];
+		this.#outboxBytes = 0;
+		const data = this.#session.encode(messages);
+		this.#counts = {
+			...this.#counts,
+			bytesSent: this.#counts.bytesSent + data.length,
+			messagesSent: this.#counts.messagesSent + messages.length,
+		};
+		this.#socket.send(data);
+	}
+
+	#receive(data: Uint8Array): void {
+		let messages: readonly Message[];
+		try {
+			messages = this.#session.decode(data);
+		} catch (error) {
+			const reason = error instanceof Error ? error.message : 'unreadable message';
+			this.#onRefused(reason);
+			this.close(reason.slice(0, 200));
+			this.#closed.abort();
+			this.#socket.terminate();
+			return;
+		}
+
+		this.#heardAt = Date.now();
+		this.#counts = {
+			...this.#counts,
+			bytesReceived: this.#counts.bytesReceived + data.length,
+			messagesReceived: this.#counts.messagesReceived + messages.length,
+		};
+		for (const message of messages) {
+			for (const handler of this.#handlers.get(message.kind) ?? []) {
+				handler(message);
+			}
+		}
+	}
+}
--- /dev/null
+++ b/packages/service/src/index.ts
@@ -0,0 +1,2 @@
+/** Public index: client of a plain service. */
+export {ServiceClient, type LookupAnswer} from './service-client.js';
--- /dev/null
+++ b/packages/telemetry/src/index.ts
@@ -0,0 +1,5 @@
+/** Public index: logs, counters and latency histograms. */
+export {
+	createLogger, createSilentLogger, logLevels, type LogFields, type Logger, type LogLevel,
+} from './logger.js';
+export {Metrics, type CounterName, type HistogramName} from './metrics.js';
--- /dev/null
+++ b/packages/telemetry/src/metrics.ts
@@ -0,0 +1,109 @@
+/**
+ * Counters and latency histograms of one process, with the usual text exposition.
+ * Counters and gauges are kept by prom-client, latencies by hdr-histogram-js.
+ */
+import {build, type Histogram} from 'hdr-histogram-js';
+import {Counter, Gauge, Registry} from 'prom-client';
+
+const PERCENTILES = [50, 90, 95, 99, 99.9] as const;
+const HIGHEST_MICROSECONDS = 3_600_000_000;
+const MICROSECONDS_PER_SECOND = 1_000_000;
+
+/** Counters and their one label. Each refusal and retry reason is a label value. */
+const counters = {
+	requests: ['Requests by kind.', 'kind'],
+	answers: ['Answers by status class.', 'status'],
+	refusals: ['Refusals to callers by reason.', 'reason'],
+	endpointRefusals: ['Work refused by the endpoint process by reason.', 'reason'],
+	retries: ['Attempts after the first by reason.', 'reason'],
+	framesDropped: ['Late, crossed or duplicate frames by reason.', 'reason'],
+	peerRefusals: ['Peer messages and handshakes refused by reason.', 'reason'],
+	platformCalls: ['Calls of the platform by kind.', 'kind'],
+	platformFailures: ['Failed calls of the platform by kind of failure.', 'kind'],
+	configChanges: ['Configurations put in force by source.', 'source'],
+	mapChanges: ['Expert map changes by result.', 'result'],
+	crashes: ['Engine crashes seen, by kind.', 'kind'],
+	tokens: ['Stream events passed on, by direction.', 'direction'],
+} as const;
+
+/** Name of a counter. */
+export type CounterName = keyof typeof counters;
+
+/** Names of the latency histograms, in seconds in the exposition. */
+const histogramNames = ['firstByte', 'total', 'claim', 'attempt', 'platformCall'] as const;
+export type HistogramName = (typeof histogramNames)[number];
+
+function metricName(name: string): string {
+	return `mimosamount_${name.replaceAll(/[A-Z]/gu, letter => `_${letter.toLowerCase()}`)}`;
+}
+
+export class Metrics {
+	static create(): Metrics {
+		return new Metrics();
+	}
+
+	readonly #registry = new Registry();
+	readonly #counters = new Map<CounterName, Counter>();
+	readonly #histograms = new Map<HistogramName, Histogram>();
+
+	private constructor() {
+		for (const [name, [help, label]] of Object.entries(counters)) {
+			this.#counters.set(name as CounterName, new Counter({
+				name: `${metricName(name)}_total`, help, labelNames: [label], registers: [this.#registry],
+			}));
+		}
+
+		for (const name of histogramNames) {
+			this.#histograms.set(name, build({highestTrackableValue: HIGHEST_MICROSECONDS, numberOfSignificantValueDigits: 3, bitBucketSize: 32}));
+		}
+	}
+
+	/** Adds to a counter. `value` is the label's value, for example a refusal reason. */
+	count(name: CounterName, value: string, by = 1): void {
+		this.#counters.get(name)?.inc({[counters[name][1]]: value}, by);
+	}
+
+	/** Records a latency in milliseconds. */
+	record(name: HistogramName, milliseconds: number): void {
+		this.#histograms.get(name)?.recordValue(Math.max(0, Math.round(milliseconds * 1000)));
+	}
+
+	/** Registers a gauge that is read at each exposition. */
+	registerGauge(name: string, help: string, read: () => number): void {
+		const gauge = new Gauge({
+			name: metricName(name),
+			help,
+			registers: [this.#registry],
+			collect() {
+				gauge.set(read());
+			},
+		});
+	}
+
+	/** Current value of a counter's label; 0 if it was never counted. */
+	async valueOf(name: CounterName, value: string): Promise<number> {
+		const metric = await this.#counters.get(name)?.get();
+		return metric?.values.find(entry => Object.values(entry.labels).includes(value))?.value ?? 0;
+	}
+
+	/** The usual text exposition of all counters, gauges and histograms. */
+	async expose(): Promise<string> {
+		const text = await this.#registry.metrics();
+		return `${text}${histogramNames.map(name => this.#exposeHistogram(name)).join('')}`;
+	}
+
+	#exposeHistogram(name: HistogramName): string {
+		const histogram = this.#histograms.get(name);
+		if (histogram === undefined) {
+			return '';
+		}
+
+		const metric = `${metricName(name)}_seconds`;
+		const quantiles = PERCENTILES.map(percentile => {
+			const seconds = histogram.getValueAtPercentile(percentile) / MICROSECONDS_PER_SECOND;
+			return `${metric}{quantile="${percentile / 100}"} ${seconds}\n`;
+		});
+		const sum = histogram.mean * histogram.totalCount / MICROSECONDS_PER_SECOND;
+		return `# TYPE ${metric} summary\n${quantiles.join('')}${metric}_sum ${Number.isFinite(sum) ? sum : 0}\n${metric}_count ${histogram.totalCount}\n`;
+	}
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -20,6 +20,7 @@
 				{selector: 'class', format: ['PascalCase']}],
 			// ModernError types its instances as an intersection that this rule does not recognise as an Error.
 			'@typescript-eslint/only-throw-error': 'off',
+			'@typescript-eslint/prefer-promise-reject-errors': 'off',
 			// Payload types are erased in registries of commands and messages; the cast back stands next to the check.
 			'@typescript-eslint/no-unsafe-type-assertion': 'off',
 			// The compile target has no v flag.
