--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,7 @@
+/** Public index: the only module that talks to the platform. */
+export {
+	PlatformClient, type CallCounts, type CallKind, type PlatformClientOptions,
+} from './client.js';
+export type {Instance} from './schemas.js';
+export type {WatchEvent} from './watch.js';
+export {TokenBucket, type BucketRate} from './token-bucket.js';
--- /dev/null
+++ b/packages/standins-platform/src/index.ts
@@ -0,0 +1,4 @@
+/** Public index of the platform stand-in. Development only. */
+export {PlatformServer, type CallCounts, type PlatformServerOptions} from './platform-server.js';
+export type {Faults} from './faults.js';
+export type {InstanceRecord} from './instance-list.js';
--- /dev/null
+++ b/packages/standins-platform/src/instance-list.ts
@@ -0,0 +1,62 @@
+/** The instances list of the platform stand-in: what readers see lags behind the registrations. */
+import {z} from 'zod';
+
+/** One instance as registered and served. */
+export const instanceSchema = z.object({
+	id: z.string().min(1),
+	role: z.string(),
+	kind: z.string(),
+	address: z.string(),
+	zone: z.string(),
+	region: z.string(),
+	group: z.string().optional(),
+	ranks: z.array(z.number().int().nonnegative()).optional(),
+	models: z.array(z.string()).optional(),
+	service: z.string().optional(),
+	state: z.enum(['live', 'leaving']).default('live'),
+});
+
+/** One instance. */
+export type InstanceRecord = z.infer<typeof instanceSchema>;
+
+type Registration = {readonly at: number; readonly id: string; readonly instance: InstanceRecord | undefined};
+
+/** Registrations become visible `lagMs` after they were made. */
+export class InstanceList {
+	static create(lagMs: number): InstanceList {
+		return new InstanceList(lagMs);
+	}
+
+	readonly #lagMs: number;
+	readonly #visible = new Map<string, InstanceRecord>();
+	#waiting: Registration[] = [];
+
+	private constructor(lagMs: number) {
+		this.#lagMs = lagMs;
+	}
+
+	/** Registers or replaces an instance at `now` (ms). */
+	put(instance: InstanceRecord, now: number): void {
+		this.#waiting.push({at: now, id: instance.id, instance});
+	}
+
+	/** Removes an instance at `now` (ms). */
+	remove(id: string, now: number): void {
+		this.#waiting.push({at: now, id, instance: undefined});
+	}
+
+	/** Instances that readers see at `now` (ms), ordered by id. */
+	visible(now: number): readonly InstanceRecord[] {
+		const due = this.#waiting.filter(registration => registration.at + this.#lagMs <= now);
+		this.#waiting = this.#waiting.filter(registration => registration.at + this.#lagMs > now);
+		for (const {id, instance} of due) {
+			if (instance === undefined) {
+				this.#visible.delete(id);
+			} else {
+				this.#visible.set(id, instance);
+			}
+		}
+
+		return [...this.#visible.values()].toSorted((a, b) => a.id < b.id ? -1 : 1);
+	}
+}
--- /dev/null
+++ b/packages/standins-platform/src/object-table.ts
@@ -0,0 +1,123 @@
+/** The objects of the platform stand-in with their versions and a bounded history of changes. */
+
+/** One object as it is served. */
+export type TableObject = {
+	readonly name: string;
+	readonly resourceVersion: string;
+	readonly value: unknown;
+};
+
+/** One change, as a watch shows it. */
+export type Change = {
+	readonly type: 'ADDED' | 'DELETED' | 'MODIFIED';
+	readonly revision: number;
+	readonly object: TableObject;
+};
+
+/** Outcome of a write. */
+export type WriteOutcome
+	= | {readonly kind: 'conflict' | 'missing'}
+		| {readonly kind: 'done'; readonly object: TableObject};
+
+/** Objects by name; every write raises the revision of the whole table by one. */
+export class ObjectTable {
+	/** Creates an empty table that keeps the last `historyLimit` changes for watches. */
+	static create(historyLimit: number): ObjectTable {
+		return new ObjectTable(historyLimit);
+	}
+
+	#revision = 1;
+	#forgotten = 1;
+	#history: Change[] = [];
+	readonly #historyLimit: number;
+	readonly #objects = new Map<string, TableObject>();
+	readonly #listeners = new Set<(change: Change) => void>();
+
+	private constructor(historyLimit: number) {
+		this.#historyLimit = historyLimit;
+	}
+
+	/** Revision of the last write. */
+	get revision(): number {
+		return this.#revision;
+	}
+
+	/** The object, or undefined. */
+	read(name: string): TableObject | undefined {
+		return this.#objects.get(name);
+	}
+
+	/** Objects below a prefix, ordered by name. */
+	list(prefix: string): readonly TableObject[] {
+		return [...this.#objects.values()]
+			.filter(object => object.name.startsWith(prefix))
+			.toSorted((a, b) => a.name < b.name ? -1 : 1);
+	}
+
+	/** Creates an object; a conflict if it exists. */
+	create(name: string, value: unknown): WriteOutcome {
+		return this.#objects.has(name) ? {kind: 'conflict'} : this.#write('ADDED', name, value);
+	}
+
+	/** Replaces an object of the given version. */
+	update(name: string, resourceVersion: string, value: unknown): WriteOutcome {
+		const found = this.#check(name, resourceVersion);
+		return found.kind === 'done' ? this.#write('MODIFIED', name, value) : found;
+	}
+
+	/** Deletes an object of the given version. */
+	remove(name: string, resourceVersion: string): WriteOutcome {
+		const found = this.#check(name, resourceVersion);
+		return found.kind === 'done' ? this.#write('DELETED', name, found.object.value) : found;
+	}
+
+	/** Changes after a revision, or undefined if some of them are no longer held. */
+	changesAfter(revision: number): readonly Change[] | undefined {
+		return revision < this.#forgotten ? undefined : this.#history.filter(change => change.revision > revision);
+	}
+
+	/** Drops the history, so that every watch of an earlier revision is too old. */
+	forgetHistory(): void {
+		this.#history = [];
+		this.#forgotten = this.#revision;
+	}
+
+	/** Runs after each change; returns the teardown. */
+	registerListener(listener: (change: Change) => void): () => void {
+		this.#listeners.add(listener);
+		return () => {
+			this.#listeners.delete(listener);
+		};
+	}
+
+	#check(name: string, resourceVersion: string): WriteOutcome {
+		const object = this.#objects.get(name);
+		if (object === undefined) {
+			return {kind: 'missing'};
+		}
+
+		return object.resourceVersion === resourceVersion ? {kind: 'done', object} : {kind: 'conflict'};
+	}
+
+	#write(type: Change['type'], name: string, value: unknown): WriteOutcome {
+		this.#revision += 1;
+		const object: TableObject = {name, resourceVersion: String(this.#revision), value};
+		if (type === 'DELETED') {
+			this.#objects.delete(name);
+		} else {
+			this.#objects.set(name, object);
+		}
+
+		const change: Change = {type, revision: this.#revision, object};
+		this.#history.push(change);
+		if (this.#history.length > this.#historyLimit) {
+			this.#forgotten = this.#history.shift()!.revision;
+		}
+
+		for (const listener of this.#listeners) {
+			listener(change);
+		}
+
+		return {kind: 'done', object};
+	}
+}
