--- /dev/null
+++ b/packages/rules/src/index.ts
@@ -0,0 +1,41 @@
+/** Public index of the rules: model, parser, canonical text, differences and queries. */
+export {
+	fencingModes,
+	idempotencyModes,
+	ruleDefaults,
+	targetKey,
+	targetKinds,
+	type Access,
+	type AccessRule,
+	type Asked,
+	type CallPattern,
+	type DailyHours,
+	type DailyWindow,
+	type EnginesRule,
+	type ExpertRule,
+	type FencingMode,
+	type IdempotencyMode,
+	type ModelRule,
+	type Origin,
+	type Rule,
+	type RuleSet,
+	type ServiceRule,
+	type Target,
+	type TargetKind,
+	type WorkspaceRule,
+} from './model.js';
+export {createRuleSet} from './rule-set.js';
+export {isWithin, nextBoundary} from './daily-hours.js';
+export {
+	endpointState, targetState, type AccessState, type EndpointNames,
+} from './endpoint-state.js';
+export {
+	expertRule,
+	fencingOf,
+	isNonIdempotent,
+	quietUntil,
+	resolveModel,
+	serviceRule,
+	workspaceByKeyHash,
+	type ResolvedModel,
+} from './queries.js';
