--- a/packages/protocol/__tests__/unit/session.test.ts
+++ b/packages/protocol/__tests__/unit/session.test.ts
@@ -21,7 +21,7 @@
 
 const messages: readonly Message[] = [
 	{
-		kind: 'report', load, configVersion: 7, mapVersion: 3,
+		kind: 'report', load, rulesVersion: 7, mapVersion: 3,
 	},
 	{
 		kind: 'chunk', requestId: 'r1', attempt: 1, offset: 0, data: new Uint8Array([1, 2, 3]),
--- a/packages/protocol/src/peer-link.ts
+++ b/packages/protocol/src/peer-link.ts
@@ -36,11 +36,11 @@
 		return message.data.length;
 	}
 
-	if (message.kind === 'config') {
-		return message.text.length;
+	if (message.kind === 'text') {
+		return message.lines.reduce((sum, line) => sum + line.length, 0);
 	}
 
-	return message.kind === 'directory' ? message.machines.length : SMALL_MESSAGE_BYTES;
+	return SMALL_MESSAGE_BYTES;
 }
 
 /** Converts what the socket delivers into one byte array. */
