Add the routing package: table, choice, prefix memory, subsets

Cause: entries need a replica for each request without asking anyone. Change: immutable RoutingTable, chooseReplica with its reasons, PrefixMemory (bounded LRU), subsetOf and rendezvous hashing over xxhash64. Ruled out: a subset by each entry's own rendezvous order, whose subscribers per endpoint vary binomially; the endpoint picks its entries instead.

--- /dev/null
+++ b/packages/routing/src/cost.ts
@@ -0,0 +1,103 @@
+/** The cost of sending a request to one replica (design page, section 5, step 4). */
+import {type FleetStats} from './fleet-stats.js';
+import {type TableOptions} from './table.js';
+import {
+	type CandidateCost, type CandidateSource, type Replica, type RouteRequest,
+} from './types.js';
+
+/** One-way 0.5 ms each way between zones, and a margin so that equal replicas are taken from the own zone. */
+const OTHER_ZONE_MS = 2;
+/** Regions are some ten milliseconds apart and links between them are lost more often. */
+const OTHER_REGION_MS = 100;
+/** A step time above this multiple of the median says no more about the wait than the multiple itself. */
+const MAX_STRAGGLER = 5;
+/** Step times vary by some ten percent with the batch; only what lies above that marks a straggler. */
+const STRAGGLER_TOLERANCE = 1.1;
+/** A queue empties within about this time, so an older reading says little and the mean of the fleet replaces it. */
+const QUEUE_MEMORY_MS = 2000;
+/** The running batch turns over in about 25 s, so its size is believed for longer than the queue. */
+const RUNNING_MEMORY_MS = 20_000;
+/** Cost of running as many requests again as the mean of the fleet. */
+const BALANCE_MS = 400;
+/** A peak below this share of the mean comes from an idle replica and not from a slow one. */
+const IDLE_PEAK_SHARE = 0.25;
+
+function rateOf(replica: Replica, stats: FleetStats, options: TableOptions): number {
+	const usual = stats.meanPeakTokensPerSecond > 0 ? stats.meanPeakTokensPerSecond : options.defaultTokensPerSecond;
+	const rate = replica.peakTokensPerSecond >= usual * IDLE_PEAK_SHARE ? replica.peakTokensPerSecond : usual;
+	return Math.max(1, rate);
+}
+
+/** Moves a reading towards the mean of the fleet as it ages. */
+function aged(reading: number | undefined, mean: number, ageMs: number, memoryMs: number): number {
+	return reading === undefined ? mean : mean + ((reading - mean) * Math.exp(-ageMs / memoryMs));
+}
+
+function zoneMsOf(replica: Replica, request: RouteRequest): number {
+	if (replica.region !== request.region) {
+		return OTHER_REGION_MS;
+	}
+
+	return replica.zone === request.zone ? 0 : OTHER_ZONE_MS;
+}
+
+function stragglerOf(replica: Replica, stats: FleetStats): number {
+	if (replica.report === undefined || stats.medianStepMs <= 0) {
+		return 1;
+	}
+
+	const factor = replica.report.stepMs / (stats.medianStepMs * STRAGGLER_TOLERANCE);
+	return Math.min(MAX_STRAGGLER, Math.max(1, factor));
+}
+
+function unreportedTokens(replica: Replica): number {
+	return replica.unreported.reduce((sum, {inputTokens}) => sum + inputTokens, 0);
+}
+
+/** Prompt tokens of the request that the replica is expected to hold in its cache. */
+export function expectedCached(replica: Replica, request: RouteRequest, isHome: boolean): number {
+	const hint = request.known.hints.find(({replicaId}) => replicaId === replica.id);
+	const prefixTokens = request.prefixes.at(-1)?.tokens ?? 0;
+	const atHome = isHome ? request.known.homeHitRate * prefixTokens : 0;
+	return Math.min(request.inputTokens, Math.max(hint?.cachedTokens ?? 0, atHome));
+}
+
+/** What the cost of a candidate is computed from. */
+export type CostInput = {
+	readonly replica: Replica;
+	readonly request: RouteRequest;
+	readonly stats: FleetStats;
+	readonly options: TableOptions;
+	readonly source: CandidateSource;
+	readonly now: number;
+};
+
+/** Computes all terms of a candidate's cost. */
+export function costOf({replica, request, stats, options, source, now}: CostInput): CandidateCost {
+	const {report} = replica;
+	const ageMs = now - replica.reportedAt;
+	const msPerToken = 1000 / rateOf(replica, stats, options);
+	const cachedTokens = expectedCached(replica, request, source === 'prefix-home');
+	const queueMs = msPerToken * aged(report?.queuedTokens, stats.meanQueuedTokens, ageMs, QUEUE_MEMORY_MS);
+	const ownMs = msPerToken * unreportedTokens(replica);
+	const prefillMs = msPerToken * (request.inputTokens - cachedTokens);
+	const zoneMs = zoneMsOf(replica, request);
+	const straggler = stragglerOf(replica, stats);
+	const waitMs = (queueMs + ownMs + prefillMs + zoneMs) * straggler;
+	const running = aged(report?.running, stats.meanRunning, ageMs, RUNNING_MEMORY_MS) + replica.unreported.length;
+	const balanceMs = stats.meanRunning > 0 ? BALANCE_MS * ((running / stats.meanRunning) - 1) : 0;
+	return {
+		id: replica.id,
+		source,
+		queueMs,
+		ownMs,
+		prefillMs,
+		zoneMs,
+		straggler,
+		waitMs,
+		balanceMs,
+		costMs: waitMs + balanceMs,
+		cachedTokens,
+		reportAgeMs: report === undefined ? undefined : ageMs,
+	};
+}
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,28 @@
+/** Public index of routing: choice of a replica, the routing table, prefix memory, subsets and hashing. */
+export {
+	hashHex, hashOf, initHashing, rendezvous,
+} from './hashing.js';
+export {type FleetStats} from './fleet-stats.js';
+export {isService, servesModel} from './model-name.js';
+export {PrefixMemory} from './prefix-memory.js';
+export {
+	FULL_BACKOFF_MS, isLeaving, isSuspected, RoutingTable, SUSPECT_AFTER_MS, type RefusalReason, type TableOptions,
+} from './table.js';
+export type {
+	CacheHint,
+	CandidateCost,
+	CandidateSource,
+	Choice,
+	InstanceEntry,
+	LeftOutReason,
+	LoadReport,
+	PrefixKnowledge,
+	PromptPrefix,
+	Replica,
+	RouteRequest,
+	UnreportedWork,
+	Why,
+	Work,
+} from './types.js';
+export {chooseReplica, explainChoice} from './choose.js';
+export {subsetOf} from './subset.js';
