Add the stand-in model engine: batching, cache, resume, cancel and faults

Cause: the engine package, the endpoint role and the tests need a back end that speaks the inference API and whose exact answer bytes are known.

Change: standins-engine serves chat and text completions, whole and streamed, with bytes that depend on the body and the request id only; it batches with a bounded number running, holds runs for resume, and injects faults over POST /faults.

Ruled out: closing the listener while a crashed engine restarts, because another process could take the port; new connections are reset instead.

--- /dev/null
+++ b/packages/standins-engine/src/answer.ts
@@ -0,0 +1,163 @@
+/**
+ * Deterministic answers: the bytes depend on the request body and the request id only,
+ * so a test or the load generator can compute what a caller has to receive.
+ */
+import {Buffer} from 'node:buffer';
+import {hashText} from './hash.js';
+import {parseInferenceRequest, type CompletionKind, type InferenceRequest} from './inference-request.js';
+import {createRandom} from './random.js';
+
+/** Characters counted as one prompt token. */
+export const CHARS_PER_TOKEN = 4;
+
+/** Answer length in tokens when the request names none: drawn from this range. */
+const NATURAL_TOKENS = {min: 16, max: 79};
+
+/** Value of `created` in seconds; constant, because a clock would make two runs differ. */
+const CREATED_SECONDS = 1_700_000_000;
+
+/** Words of three scripts, so that byte offsets also fall inside multi-byte characters. */
+const WORDS = [
+	'the',
+	'pack',
+	'reads',
+	'low',
+	'charge',
+	'swap',
+	'before',
+	'noon',
+	'boat',
+	'station',
+	'notice',
+	'family',
+	'evening',
+	'දැනුම්දීම',
+	'පවුල',
+	'ලංකාව',
+	'සවස',
+	'அறிவிப்பு',
+	'குடும்பம்',
+	'மாலை',
+	'நேரம்',
+	'niño',
+	'café',
+	'"quoted"',
+	'line\n',
+	'🔋',
+];
+
+/** A complete answer, cut into the pieces that the engine makes in one step each. */
+export type Answer = {
+	readonly requestId: string;
+	readonly contentType: 'application/json' | 'text/event-stream';
+	/** One piece of bytes per generated token; a whole answer has all its bytes in the last piece. */
+	readonly pieces: readonly Uint8Array[];
+	/** Number of generated tokens. */
+	readonly tokens: number;
+	/** Number of prompt tokens. */
+	readonly promptTokens: number;
+	/** The generated text. */
+	readonly text: string;
+};
+
+function generateWords(request: InferenceRequest): readonly string[] {
+	const random = createRandom(Number(BigInt.asIntN(32, BigInt(`0x${hashText(request.seedText)}`))));
+	const natural = random.int(NATURAL_TOKENS.min, NATURAL_TOKENS.max);
+	const count = request.maxTokens ?? natural;
+	return Array.from({length: count}, (_, index) => {
+		const word = WORDS[random.int(0, WORDS.length - 1)] ?? '';
+		return index === 0 ? word : ` ${word}`;
+	});
+}
+
+function frame(value: unknown): string {
+	return `data: ${JSON.stringify(value)}\n\n`;
+}
+
+type Envelope = {
+	readonly id: string;
+	readonly object: string;
+	readonly created: number;
+	readonly model: string;
+};
+
+function envelope(request: InferenceRequest, requestId: string): Envelope {
+	const chatObject = request.stream ? 'chat.completion.chunk' : 'chat.completion';
+	return {
+		id: request.kind === 'chat' ? `chatcmpl-${requestId}` : `cmpl-${requestId}`,
+		object: request.kind === 'chat' ? chatObject : 'text_completion',
+		created: CREATED_SECONDS,
+		model: request.model,
+	};
+}
+
+function usage(promptTokens: number, tokens: number): Record<string, number> {
+	return {prompt_tokens: promptTokens, completion_tokens: tokens, total_tokens: promptTokens + tokens};
+}
+
+function streamChoice(kind: CompletionKind, word: string, finish?: string): Record<string, unknown> {
+	const content = kind === 'chat' ? {delta: word === '' ? {} : {content: word}} : {text: word};
+	return {
+		index: 0, ...content, logprobs: null, finish_reason: finish ?? null,
+	};
+}
+
+function streamPieces(request: InferenceRequest, head: Envelope, words: readonly string[], promptTokens: number): readonly Uint8Array[] {
+	const finish = request.maxTokens === undefined ? 'stop' : 'length';
+	return words.map((word, index) => {
+		let text = '';
+		if (index === 0 && request.kind === 'chat') {
+			text += frame({
+				...head, choices: [{
+					index: 0, delta: {role: 'assistant', content: ''}, logprobs: null, finish_reason: null,
+				}],
+			});
+		}
+
+		text += frame({...head, choices: [streamChoice(request.kind, word)]});
+		if (index === words.length - 1) {
+			text += frame({...head, choices: [streamChoice(request.kind, '', finish)]});
+			text += request.includeUsage ? frame({...head, choices: [], usage: usage(promptTokens, words.length)}) : '';
+			text += 'data: [DONE]\n\n';
+		}
+
+		return Buffer.from(text);
+	});
+}
+
+function wholePieces(request: InferenceRequest, head: Envelope, words: readonly string[], promptTokens: number): readonly Uint8Array[] {
+	const finish = request.maxTokens === undefined ? 'stop' : 'length';
+	const text = words.join('');
+	const content = request.kind === 'chat' ? {message: {role: 'assistant', content: text, refusal: null}} : {text};
+	const choice = {
+		index: 0, ...content, logprobs: null, finish_reason: finish,
+	};
+	const bytes = Buffer.from(JSON.stringify({...head, choices: [choice], usage: usage(promptTokens, words.length)}));
+	return words.map((_, index) => index === words.length - 1 ? bytes : Buffer.alloc(0));
+}
+
+/** Makes the complete answer to a request. */
+export function createAnswer(request: InferenceRequest, requestId: string): Answer {
+	const words = generateWords(request);
+	const promptTokens = Math.ceil(request.prompt.length / CHARS_PER_TOKEN);
+	const head = envelope(request, requestId);
+	const pieces = request.stream ? streamPieces(request, head, words, promptTokens) : wholePieces(request, head, words, promptTokens);
+	return {
+		requestId,
+		contentType: request.stream ? 'text/event-stream' : 'application/json',
+		pieces,
+		tokens: words.length,
+		promptTokens,
+		text: words.join(''),
+	};
+}
+
+/**
+ * The exact bytes of the answer body that a caller has to receive.
+ *
+ * @param body - The parsed JSON request body.
+ * @throws InputError when the engine would refuse the body.
+ */
+export function expectedBytes(kind: CompletionKind, body: unknown, requestId: string): Uint8Array {
+	return Buffer.concat(createAnswer(parseInferenceRequest(kind, body), requestId).pieces);
+}
--- /dev/null
+++ b/packages/standins-engine/src/bin.ts
@@ -0,0 +1,50 @@
+/** Starts a stand-in engine process; prints `{"listening": PORT}` when it takes requests. */
+import process from 'node:process';
+import {parseArgs} from 'node:util';
+import {DEFAULT_ENGINE_OPTIONS} from './engine-options.js';
+import {EngineServer} from './engine-server.js';
+import {InputError} from '#core';
+
+const {values} = parseArgs({
+	options: {
+		host: {type: 'string', default: '127.0.0.1'},
+		port: {type: 'string', default: '0'},
+		model: {type: 'string', multiple: true},
+		'step-ms': {type: 'string'},
+		'max-running': {type: 'string'},
+		'max-queued': {type: 'string'},
+		'prefill-tokens': {type: 'string'},
+		'cache-blocks': {type: 'string'},
+		'hold-ms': {type: 'string'},
+		seed: {type: 'string'},
+	},
+});
+
+function readNumber(name: 'port' | 'step-ms' | 'max-running' | 'max-queued' | 'prefill-tokens' | 'cache-blocks' | 'hold-ms' | 'seed', fallback: number): number {
+	const text = values[name];
+	const value = text === undefined ? fallback : Number(text);
+	if (!Number.isFinite(value) || value < 0) {
+		throw new InputError(`--${name}: read ${JSON.stringify(text)}, allowed: a number of at least 0`);
+	}
+
+	return value;
+}
+
+const server = await EngineServer.create({
+	host: values.host,
+	port: readNumber('port', 0),
+	models: values.model ?? DEFAULT_ENGINE_OPTIONS.models,
+	stepMs: readNumber('step-ms', DEFAULT_ENGINE_OPTIONS.stepMs),
+	maxRunning: readNumber('max-running', DEFAULT_ENGINE_OPTIONS.maxRunning),
+	maxQueued: readNumber('max-queued', DEFAULT_ENGINE_OPTIONS.maxQueued),
+	prefillTokensPerStep: readNumber('prefill-tokens', DEFAULT_ENGINE_OPTIONS.prefillTokensPerStep),
+	cacheBlocks: readNumber('cache-blocks', DEFAULT_ENGINE_OPTIONS.cacheBlocks),
+	holdMs: readNumber('hold-ms', DEFAULT_ENGINE_OPTIONS.holdMs),
+	seed: readNumber('seed', DEFAULT_ENGINE_OPTIONS.seed),
+});
+console.log(JSON.stringify({listening: server.port}));
+for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+	process.once(signal, () => {
+		void server.close();
+	});
+}
--- /dev/null
+++ b/packages/standins-engine/src/engine.ts
@@ -0,0 +1,308 @@
+/**
+ * The model engine without its HTTP server: steps the batch on a timer, keeps the prefix
+ * cache, holds runs for resume, and applies faults.
+ */
+import {performance} from 'node:perf_hooks';
+import {createAnswer} from './answer.js';
+import {Batch} from './batch.js';
+import {CacheLog, type CacheEventPage} from './cache-log.js';
+import {type EngineOptions} from './engine-options.js';
+import {ExpertCounter, type ExpertLoad} from './expert-load.js';
+import {type EngineFaults, type FaultChange} from './faults.js';
+import type {InferenceRequest} from './inference-request.js';
+import {LaggedValue} from './lagged-value.js';
+import {Oracle} from './oracle.js';
+import {PrefixCache} from './prefix-cache.js';
+import {createRandom} from './random.js';
+import {Run, type RunReader} from './run.js';
+import {failed, ok, type Result} from '#core';
+
+/** Load as `/v1/load` reports it. */
+export type EngineLoad = {
+	/** Prompt and answer tokens of the requests that wait. */
+	readonly queuedTokens: number;
+	readonly running: number;
+	/** Tokens per second that a full batch makes at the measured step time. */
+	readonly tokensPerSecond: number;
+	/** Time of a step in milliseconds, smoothed. */
+	readonly stepMs: number;
+	readonly step: number;
+};
+
+/** Why work was not taken. */
+export type SubmitFailure = {readonly kind: 'refused'; readonly status: number} | {readonly kind: 'unknown-model'} | {readonly kind: 'full'};
+
+/** Why a stream cannot be resumed. */
+export type ResumeFailure = {readonly kind: 'missing'} | {readonly kind: 'beyond-end'; readonly bytes: number};
+
+const DEFAULT_FAULTS: EngineFaults = {
+	crashOn: null,
+	restartMs: 300,
+	stallMs: 0,
+	slowFactor: 1,
+	ignoreFence: false,
+	loadLagMs: 300,
+	eventLagMs: 500,
+	dropCacheEvents: 0,
+	expertShift: 0,
+	refuse: null,
+};
+
+/** Time between two load samples in milliseconds. */
+const SAMPLE_MS = 10;
+
+/** Weight of the newest step in the smoothed step time. */
+const STEP_SMOOTHING = 0.2;
+
+/** Time between two searches for runs that are no longer held, in milliseconds. */
+const SWEEP_MS = 200;
+
+export class Engine {
+	/** @param onCrash - Called after a crash; the server drops its connections. */
+	static create(options: EngineOptions, onCrash: () => void): Engine {
+		return new Engine(options, onCrash);
+	}
+
+	readonly oracle = Oracle.create();
+	#faults = DEFAULT_FAULTS;
+	#step = 0;
+	#stepMs: number;
+	#sequence = 0;
+	#stalledUntil = 0;
+	#downUntil = 0;
+	#nextStepAt = 0;
+	#lastStepAt: number | undefined;
+	#sampledAt = 0;
+	#timer: NodeJS.Timeout | undefined;
+	readonly #sweep: NodeJS.Timeout;
+	readonly #held = new Map<string, Run>();
+	readonly #batch: Batch;
+	readonly #cache: PrefixCache;
+	readonly #cacheLog: CacheLog;
+	readonly #experts: ExpertCounter;
+	readonly #load: LaggedValue<EngineLoad>;
+	readonly #expertLoad: LaggedValue<ExpertLoad>;
+
+	private constructor(readonly options: EngineOptions, private readonly onCrash: () => void) {
+		const random = createRandom(options.seed);
+		this.#stepMs = options.stepMs;
+		this.#cacheLog = CacheLog.create(random.next);
+		this.#cache = PrefixCache.create(options.cacheBlocks, event => {
+			this.#cacheLog.append(this.now, event, this.#faults.dropCacheEvents);
+		});
+		this.#experts = ExpertCounter.create(options.layers, options.experts, random.next);
+		this.#batch = Batch.create({
+			maxRunning: options.maxRunning,
+			prefillTokensPerStep: options.prefillTokensPerStep,
+			onStart: run => {
+				run.cachedTokens = this.#cache.use(run.request.prompt);
+				run.prefillLeft = Math.max(0, run.prefillLeft - run.cachedTokens);
+			},
+		});
+		this.#load = LaggedValue.create(this.#measure());
+		this.#expertLoad = LaggedValue.create(this.#experts.snapshot(0));
+		this.#sweep = setInterval(() => {
+			this.#dropExpired(this.now);
+			this.#sample(this.now);
+		}, SWEEP_MS);
+		this.#sweep.unref();
+	}
+
+	/** Milliseconds on a clock that does not jump. */
+	get now(): number {
+		return performance.now();
+	}
+
+	get faults(): EngineFaults {
+		return this.#faults;
+	}
+
+	/** Whether the engine is between a crash and its restart. */
+	get down(): boolean {
+		return this.now < this.#downUntil;
+	}
+
+	/** Changes some faults; `stallMs` counts from now. */
+	inject(change: FaultChange): void {
+		this.#faults = {...this.#faults, ...change};
+		if (change.stallMs !== undefined) {
+			this.#stalledUntil = this.now + change.stallMs;
+		}
+	}
+
+	/** Queues a request. */
+	submit(request: InferenceRequest, requestId: string, priority: number): Result<Run, SubmitFailure> {
+		if (this.#faults.refuse !== null) {
+			this.oracle.refused++;
+			return failed({kind: 'refused', status: this.#faults.refuse});
+		}
+
+		if (!this.options.models.includes(request.model)) {
+			return failed({kind: 'unknown-model'});
+		}
+
+		if (this.#batch.queued.length >= this.options.maxQueued) {
+			this.oracle.refused++;
+			return failed({kind: 'full'});
+		}
+
+		const run = Run.create({
+			request, answer: createAnswer(request, requestId), priority, sequence: this.#sequence++,
+		});
+		this.oracle.recordRun(run);
+		this.#held.set(requestId, run);
+		this.#batch.add(run);
+		this.#schedule();
+		return ok(run);
+	}
+
+	/** The held run of a request, if its bytes can be read from `offset` on. */
+	resume(requestId: string, offset: number): Result<Run, ResumeFailure> {
+		const run = this.#held.get(requestId);
+		if (run === undefined) {
+			return failed({kind: 'missing'});
+		}
+
+		if (run.finished && offset > run.bytesMade) {
+			return failed({kind: 'beyond-end', bytes: run.bytesMade});
+		}
+
+		this.oracle.resumes++;
+		return ok(run);
+	}
+
+	/** Hands a run's bytes from `offset` on to a reader; returns the function that removes it. */
+	attach(run: Run, offset: number, reader: RunReader): () => void {
+		const detach = run.attach(offset, reader);
+		return () => {
+			detach(this.now);
+		};
+	}
+
+	/** Ends the run of a request; false if none goes on. */
+	cancel(requestId: string): boolean {
+		const live = [...this.#batch.running, ...this.#batch.queued].filter(run => run.answer.requestId === requestId && !run.finished);
+		for (const run of live) {
+			run.finish('cancelled');
+		}
+
+		this.#held.delete(requestId);
+		this.oracle.cancels += live.length;
+		return live.length > 0;
+	}
+
+	load(): EngineLoad {
+		return this.#load.read(this.now, this.#faults.loadLagMs);
+	}
+
+	expertLoad(): ExpertLoad {
+		return this.#expertLoad.read(this.now, this.#faults.loadLagMs);
+	}
+
+	cacheEvents(after: number): CacheEventPage {
+		return this.#cacheLog.read(after, this.now, this.#faults.eventLagMs);
+	}
+
+	/** Loses all running and queued requests and the cache, and stays down for `restartMs`. */
+	crash(): void {
+		this.oracle.crashes++;
+		this.#downUntil = this.now + this.#faults.restartMs;
+		this.#cache.clear();
+		this.#held.clear();
+		const lost = this.#batch.clear();
+		this.onCrash();
+		for (const run of lost) {
+			run.finish('lost');
+		}
+	}
+
+	/** Stops the timers. */
+	close(): void {
+		clearInterval(this.#sweep);
+		clearTimeout(this.#timer);
+		for (const run of this.#batch.clear()) {
+			run.finish('lost');
+		}
+	}
+
+	#schedule(): void {
+		if (this.#timer !== undefined || this.#batch.idle) {
+			return;
+		}
+
+		const {now} = this;
+		this.#nextStepAt = Math.max(this.#nextStepAt, now, this.#stalledUntil);
+		this.#timer = setTimeout(() => {
+			this.#timer = undefined;
+			this.#advance(this.now);
+			this.#schedule();
+		}, this.#nextStepAt - now);
+	}
+
+	#advance(now: number): void {
+		if (now < this.#stalledUntil) {
+			return;
+		}
+
+		const period = this.options.stepMs * this.#faults.slowFactor;
+		// A late timer is made up for by at most one step, so a pause does not cause a burst.
+		this.#nextStepAt = Math.max(this.#nextStepAt + period, now);
+		this.#batch.admit();
+		const {crashOn} = this.#faults;
+		if (crashOn !== null && this.#batch.running.some(run => run.request.prompt.includes(crashOn))) {
+			this.crash();
+			return;
+		}
+
+		this.#step++;
+		const made = this.#batch.step();
+		this.oracle.tokens += made.length;
+		for (const run of made) {
+			this.#experts.countToken(this.#faults.expertShift);
+			run.finishedAt = run.finished ? now : undefined;
+		}
+
+		this.#measureStep(now);
+		if (this.#batch.idle || now - this.#sampledAt >= SAMPLE_MS) {
+			this.#sample(now);
+		}
+	}
+
+	#measureStep(now: number): void {
+		if (this.#lastStepAt !== undefined) {
+			this.#stepMs += (now - this.#lastStepAt - this.#stepMs) * STEP_SMOOTHING;
+		}
+
+		// The time in which the engine has no work is not part of a step.
+		this.#lastStepAt = this.#batch.idle ? undefined : now;
+	}
+
+	#measure(): EngineLoad {
+		return {
+			queuedTokens: this.#batch.queuedTokens,
+			running: this.#batch.running.length,
+			tokensPerSecond: this.options.maxRunning * 1000 / Math.max(1, this.#stepMs),
+			stepMs: this.#stepMs,
+			step: this.#step,
+		};
+	}
+
+	#sample(now: number): void {
+		this.#sampledAt = now;
+		this.#load.record(now, this.#measure());
+		this.#expertLoad.record(now, this.#experts.snapshot(this.#step));
+		// Reading drops samples that are older than the lag, which bounds their number.
+		this.load();
+		this.expertLoad();
+	}
+
+	#dropExpired(now: number): void {
+		for (const [id, run] of this.#held) {
+			const since = run.finished ? run.finishedAt : run.unreadSince;
+			if (since !== undefined && now - since > this.options.holdMs) {
+				this.#held.delete(id);
+				run.finish('cancelled');
+			}
+		}
+	}
+}
--- /dev/null
+++ b/packages/standins-engine/src/index.ts
@@ -0,0 +1,22 @@
+/** Stand-in model engine: its server, and the expected answers that tests and load share. */
+export {
+	CHARS_PER_TOKEN, createAnswer, expectedBytes, type Answer,
+} from './answer.js';
+export {Batch, type BatchOptions} from './batch.js';
+export {CacheLog, type CacheEvent, type CacheEventPage} from './cache-log.js';
+export {EngineServer, type EngineServerOptions} from './engine-server.js';
+export {DEFAULT_ENGINE_OPTIONS, type EngineOptions} from './engine-options.js';
+export {
+	Engine, type EngineLoad, type ResumeFailure, type SubmitFailure,
+} from './engine.js';
+export {ExpertCounter, type ExpertLoad} from './expert-load.js';
+export {parseFaultChange, type EngineFaults, type FaultChange} from './faults.js';
+export {hashBytes, hashText} from './hash.js';
+export {parseInferenceRequest, type CompletionKind, type InferenceRequest} from './inference-request.js';
+export {LaggedValue} from './lagged-value.js';
+export {Oracle, type EngineCounts, type RequestCount} from './oracle.js';
+export {PREFIX_BLOCK_CHARS, PrefixCache, prefixHashes} from './prefix-cache.js';
+export {createRandom, type Random} from './random.js';
+export {
+	Run, type RunReader, type RunState,
+} from './run.js';
--- /dev/null
+++ b/packages/standins-engine/src/inference-request.ts
@@ -0,0 +1,77 @@
+/** Parsing of the request bodies of the inference API. */
+import {z} from 'zod';
+import {InputError} from '#core';
+
+/** The two kinds of work; each has its own path and answer shape. */
+export type CompletionKind = 'chat' | 'text';
+
+/** The body of a completion request as the stand-in reads it. */
+export type InferenceRequest = {
+	readonly kind: CompletionKind;
+	readonly model: string;
+	/** All prompt text; chat messages are joined as `role`, newline, `content`, newline. */
+	readonly prompt: string;
+	readonly stream: boolean;
+	/** Whether a usage chunk precedes the end marker of a stream. */
+	readonly includeUsage: boolean;
+	/** Number of tokens asked for, if any. */
+	readonly maxTokens: number | undefined;
+	/** Text that the generated answer depends on: the body without its streaming options. */
+	readonly seedText: string;
+};
+
+const part = z.looseObject({type: z.string(), text: z.string().optional()});
+const common = {
+	model: z.string().min(1),
+	stream: z.boolean().nullish(),
+	stream_options: z.looseObject({include_usage: z.boolean().optional()}).nullish(),
+	max_tokens: z.int().positive().nullish(),
+	max_completion_tokens: z.int().positive().nullish(),
+	n: z.literal(1).nullish(),
+};
+const chatSchema = z.looseObject({
+	...common,
+	messages: z.array(z.looseObject({role: z.string(), content: z.union([z.string(), z.array(part)]).nullish()})).min(1),
+});
+const textSchema = z.looseObject({...common, prompt: z.union([z.string(), z.array(z.string())])});
+
+type ChatMessage = z.infer<typeof chatSchema>['messages'][number];
+
+function messageText({role, content}: ChatMessage): string {
+	const text = typeof content === 'string' ? content : (content ?? []).map(item => item.text ?? '').join('');
+	return `${role}\n${text}\n`;
+}
+
+function readPrompt(kind: CompletionKind, body: unknown): {readonly fields: z.infer<z.ZodObject<typeof common>>; readonly prompt: string} {
+	if (kind === 'chat') {
+		const fields = chatSchema.parse(body);
+		return {fields, prompt: fields.messages.map(message => messageText(message)).join('')};
+	}
+
+	const fields = textSchema.parse(body);
+	return {fields, prompt: typeof fields.prompt === 'string' ? fields.prompt : fields.prompt.join('\n')};
+}
+
+/**
+ * Reads a request body.
+ *
+ * @param body - The parsed JSON body.
+ * @throws InputError when the body does not have the shape of the inference API.
+ */
+export function parseInferenceRequest(kind: CompletionKind, body: unknown): InferenceRequest {
+	try {
+		const {fields, prompt} = readPrompt(kind, body);
+		const {stream, stream_options: streamOptions, ...seedFields} = fields;
+		return {
+			kind,
+			model: fields.model,
+			prompt,
+			stream: stream ?? false,
+			includeUsage: streamOptions?.include_usage ?? false,
+			maxTokens: fields.max_completion_tokens ?? fields.max_tokens ?? undefined,
+			seedText: JSON.stringify(seedFields),
+		};
+	} catch (error) {
+		throw new InputError(`request body: ${error instanceof z.ZodError ? z.prettifyError(error) : String(error)}`);
+	}
+}
