--- /dev/null
+++ b/packages/expertmap/src/engine-order.ts
@@ -0,0 +1,73 @@
+/** Orders to one engine of a group and the state it reports (interface `/v1/orders` of an engine). */
+
+/** Experts held by each slot: `slots[layer][rank]` lists expert numbers, one per slot. */
+export type ExpertMap = {
+	readonly slots: ReadonlyArray<ReadonlyArray<readonly number[]>>;
+};
+
+/** Fields of every order. `epoch` lets the engine refuse an order of a group that has re-formed since. */
+type OrderFields = {
+	readonly version: number;
+	readonly epoch: number;
+	readonly fence: number;
+};
+
+/** An order to one engine. A process sends the next one only after the answer to the one before. */
+export type EngineOrder
+	= | (OrderFields & {readonly order: 'prepare'; readonly map: ExpertMap})
+		| (OrderFields & {readonly order: 'gate' | 'go' | 'cancel'; readonly step: number})
+		| (OrderFields & {readonly order: 'drop'})
+		| (OrderFields & {
+			readonly order: 'reform';
+			/** First step of the new epoch. */
+			readonly step: number;
+			/** Ids of all endpoints of the new epoch. */
+			readonly members: readonly string[];
+		});
+
+/** Gate of an engine: it holds before `step` until `gone` or until the gate is cancelled. */
+export type EngineGate = {
+	readonly version: number;
+	readonly step: number;
+	readonly gone: boolean;
+};
+
+/** State of an engine as `GET /v1/orders/state` reports it. */
+export type EngineState = {
+	/** Barrier the engine takes part in; 0 when it has joined none. */
+	readonly epoch: number;
+	/** Ids of the endpoints whose engines make up the barrier. */
+	readonly members: readonly string[];
+	/** Step in progress, or the next one while the engine waits at the barrier. */
+	readonly step: number;
+	/** Map in use; 0 when none is loaded. */
+	readonly mapVersion: number;
+	/** Versions that are loaded but not in use. */
+	readonly prepared: readonly number[];
+	readonly gate?: EngineGate;
+	/** Highest fence the engine has seen. */
+	readonly fence: number;
+};
+
+/** Why an engine refuses an order. `too-late` covers a step that has passed, an old epoch and a dropped version. */
+export type OrderReason = 'fence' | 'not-prepared' | 'too-late' | 'no-gate' | 'gone';
+
+/** Answer of an engine to an order. */
+export type OrderAnswer
+	= | {readonly kind: 'done'; readonly state: EngineState}
+		| {readonly kind: 'refused'; readonly reason: OrderReason; readonly state: EngineState};
+
+/** True if the engine has the weights of `version`, whether or not it is in use. */
+export function holdsVersion(state: EngineState, version: number): boolean {
+	return state.mapVersion === version || state.prepared.includes(version);
+}
+
+/** True if the engine has executed `go` for this version. */
+export function hasGone(state: EngineState, version: number): boolean {
+	return state.mapVersion === version || (state.gate?.version === version && state.gate.gone);
+}
+
+/** True if the engine has a gate for this version and has not executed `go`. */
+export function isGated(state: EngineState, version: number): boolean {
+	return state.gate?.version === version && !state.gate.gone;
+}
