--- /dev/null
+++ b/packages/limits/src/capacity.ts
@@ -0,0 +1,51 @@
+/** How many requests an endpoint runs at once, from the step times it observes. */
+
+/** Time between tokens at the 95th percentile (design page, section 1.5). */
+export const STEP_TARGET_MS = 67;
+/** Steps above the target shrink the batch by at most this factor each time. */
+const MAX_SHRINK = 0.7;
+/** A batch grows only while it is used, one request at a time. */
+const GROWTH = 1;
+/** Steps are judged once in this time, so that a change shows its effect before the next one. */
+const INTERVAL_MS = 1000;
+
+/** Concurrency limit of an endpoint; an immutable value. */
+export type Capacity = {
+	/** Requests to run at once; the whole part counts. */
+	readonly limit: number;
+	readonly min: number;
+	readonly max: number;
+	readonly changedAt: number;
+};
+
+/** What the engine reports. */
+export type StepSample = {
+	/** Duration of a step, milliseconds. */
+	readonly stepMs: number;
+	/** Requests in the batch. */
+	readonly running: number;
+};
+
+/** A capacity that starts at `initial` and stays within the bounds. */
+export function createCapacity(initial: number, min: number, max: number): Capacity {
+	return {
+		limit: Math.min(max, Math.max(min, initial)), min, max, changedAt: Number.NEGATIVE_INFINITY,
+	};
+}
+
+/** Additive growth while steps are short and the limit is in use; shrinks in proportion when steps are too long. */
+export function nextCapacity(capacity: Capacity, sample: StepSample, now: number): Capacity {
+	if (now - capacity.changedAt < INTERVAL_MS || sample.running === 0) {
+		return capacity;
+	}
+
+	const {limit, min, max} = capacity;
+	if (sample.stepMs > STEP_TARGET_MS) {
+		const shrink = Math.max(MAX_SHRINK, STEP_TARGET_MS / sample.stepMs);
+		return {...capacity, limit: Math.max(min, Math.min(limit, sample.running) * shrink), changedAt: now};
+	}
+
+	return sample.running >= Math.floor(limit)
+		? {...capacity, limit: Math.min(max, limit + GROWTH), changedAt: now}
+		: capacity;
+}
