--- /dev/null
+++ b/packages/standins-engine/src/rank.ts
@@ -0,0 +1,269 @@
+/**
+ * State machine of one rank of a stand-in engine: the orders of `/v1/orders` and
+ * the rank's part in the lock-step barrier. Time enters as `now` (ms).
+ */
+import type {
+	EngineGate, EngineOrder, EngineState, OrderAnswer, OrderReason,
+} from '#expertmap';
+
+/** Whether the engine refuses an order whose fence is lower than the highest it has seen. */
+export type RankKind = 'checks-fence' | 'ignores-fence';
+
+/** Settings of a rank. */
+export type RankOptions = {
+	readonly id: string;
+	readonly kind: RankKind;
+	/** Barrier at the start; a rank with epoch 0 has joined none and waits for `reform`. */
+	readonly epoch: number;
+	/** Ids of the ranks of that barrier. */
+	readonly members: readonly string[];
+	/** Map in use at the start; 0 for none. */
+	readonly mapVersion: number;
+	/** First step; default 0. */
+	readonly step?: number;
+	/** Time to load a prepared map from the weight store, ms; default 0. */
+	readonly loadMs?: number;
+};
+
+/** One rank. Orders are executed one after another, so the rank decides between `go` and `cancel`. */
+export class EngineRank {
+	static create(options: RankOptions): EngineRank {
+		return new EngineRank(options);
+	}
+
+	readonly id: string;
+	readonly kind: RankKind;
+	readonly #loadMs: number;
+	#epoch: number;
+	#members: readonly string[];
+	#step: number;
+	#mapVersion: number;
+	#gate: EngineGate | undefined;
+	#fence = 0;
+	/** Time at which each prepared version is loaded. */
+	readonly #loadedAt = new Map<number, number>();
+	/** Highest epoch in which each version was dropped: a late `prepare` of that epoch must not revive it. */
+	readonly #droppedIn = new Map<number, number>();
+
+	private constructor(options: RankOptions) {
+		this.id = options.id;
+		this.kind = options.kind;
+		this.#epoch = options.epoch;
+		this.#members = options.members;
+		this.#mapVersion = options.mapVersion;
+		this.#step = options.step ?? 0;
+		this.#loadMs = options.loadMs ?? 0;
+	}
+
+	/** State as `GET /v1/orders/state` reports it. */
+	state(now: number): EngineState {
+		const prepared = [...this.#loadedAt].filter(([, at]) => at <= now).map(([version]) => version);
+		return {
+			epoch: this.#epoch,
+			members: this.#members,
+			step: this.#step,
+			mapVersion: this.#mapVersion,
+			prepared: prepared.toSorted((a, b) => a - b),
+			...(this.#gate === undefined ? {} : {gate: this.#gate}),
+			fence: this.#fence,
+		};
+	}
+
+	/** True while the rank waits at its gate for `go` or `cancel`. */
+	get held(): boolean {
+		return this.#gate !== undefined && !this.#gate.gone && this.#step >= this.#gate.step;
+	}
+
+	/** Step in progress or next. */
+	get step(): number {
+		return this.#step;
+	}
+
+	/** Barrier of the rank. */
+	get epoch(): number {
+		return this.#epoch;
+	}
+
+	/** Ids of the ranks of the barrier. */
+	get members(): readonly string[] {
+		return this.#members;
+	}
+
+	/** Executes an order. A repeated order that has taken effect is confirmed again. */
+	order(order: EngineOrder, now: number): OrderAnswer {
+		const reason = this.#refusal(order, now);
+		if (reason !== undefined) {
+			return {kind: 'refused', reason, state: this.state(now)};
+		}
+
+		this.#fence = Math.max(this.#fence, order.fence);
+		this.#execute(order, now);
+		return {kind: 'done', state: this.state(now)};
+	}
+
+	/**
+	 * Runs one step; the group calls it when all ranks of the barrier have arrived.
+	 *
+	 * @returns The version of the map that the step used.
+	 */
+	advance(): number {
+		if (this.#gate?.gone === true && this.#step >= this.#gate.step) {
+			this.#mapVersion = this.#gate.version;
+			this.#loadedAt.delete(this.#gate.version);
+			this.#gate = undefined;
+		}
+
+		this.#step += 1;
+		return this.#mapVersion;
+	}
+
+	#holds(version: number, now: number): boolean {
+		return this.#mapVersion === version || (this.#loadedAt.get(version) ?? Infinity) <= now;
+	}
+
+	#refusal(order: EngineOrder, now: number): OrderReason | undefined {
+		if (this.kind === 'checks-fence' && order.fence < this.#fence) {
+			return 'fence';
+		}
+
+		switch (order.order) {
+			case 'prepare': {
+				const dropped = this.#droppedIn.get(order.version) ?? -1;
+				return order.epoch < this.#epoch || order.epoch <= dropped ? 'too-late' : undefined;
+			}
+
+			case 'gate': {
+				return this.#refusalOfGate(order, now);
+			}
+
+			case 'go': {
+				return this.#refusalOfGo(order);
+			}
+
+			case 'cancel':
+			case 'drop': {
+				if (order.epoch !== this.#epoch) {
+					return 'too-late';
+				}
+
+				const gone = this.#mapVersion === order.version || (this.#gate?.gone === true && this.#gate.version === order.version);
+				if (gone) {
+					return 'gone';
+				}
+
+				return order.order === 'drop' && this.#gate?.version === order.version ? 'too-late' : undefined;
+			}
+
+			case 'reform': {
+				return this.#refusalOfReform(order, now);
+			}
+		}
+	}
+
+	#refusalOfGate(order: EngineOrder & {readonly order: 'gate' | 'go' | 'cancel'}, now: number): OrderReason | undefined {
+		if (order.epoch !== this.#epoch) {
+			return 'too-late';
+		}
+
+		if (this.#gate !== undefined) {
+			const same = this.#gate.version === order.version && this.#gate.step === order.step;
+			return same ? undefined : 'too-late';
+		}
+
+		if (this.#mapVersion === order.version) {
+			return 'gone';
+		}
+
+		if (!this.#holds(order.version, now)) {
+			return 'not-prepared';
+		}
+
+		return order.step <= this.#step ? 'too-late' : undefined;
+	}
+
+	#refusalOfGo(order: EngineOrder & {readonly order: 'gate' | 'go' | 'cancel'}): OrderReason | undefined {
+		if (order.epoch !== this.#epoch) {
+			return 'too-late';
+		}
+
+		if (this.#mapVersion === order.version) {
+			return undefined;
+		}
+
+		return this.#gate?.version === order.version && this.#gate.step === order.step ? undefined : 'no-gate';
+	}
+
+	#refusalOfReform(order: EngineOrder & {readonly order: 'reform'}, now: number): OrderReason | undefined {
+		if (order.epoch === this.#epoch) {
+			return undefined;
+		}
+
+		if (order.epoch < this.#epoch || !order.members.includes(this.id)) {
+			return 'too-late';
+		}
+
+		return this.#holds(order.version, now) ? undefined : 'not-prepared';
+	}
+
+	#execute(order: EngineOrder, now: number): void {
+		switch (order.order) {
+			case 'prepare': {
+				if (this.#mapVersion !== order.version && !this.#loadedAt.has(order.version)) {
+					this.#loadedAt.set(order.version, now + this.#loadMs);
+				}
+
+				break;
+			}
+
+			case 'gate': {
+				this.#gate ??= {version: order.version, step: order.step, gone: false};
+				break;
+			}
+
+			case 'go': {
+				if (this.#gate !== undefined && this.#mapVersion !== order.version) {
+					this.#gate = {...this.#gate, gone: true};
+				}
+
+				break;
+			}
+
+			case 'cancel': {
+				if (this.#gate?.version === order.version) {
+					this.#gate = undefined;
+				}
+
+				break;
+			}
+
+			case 'drop': {
+				this.#loadedAt.delete(order.version);
+				this.#droppedIn.set(order.version, Math.max(this.#epoch, this.#droppedIn.get(order.version) ?? 0));
+				break;
+			}
+
+			case 'reform': {
+				this.#reform(order, now);
+				break;
+			}
+		}
+	}
+
+	/** Enters a new epoch. The map in use before stays loaded, since the new epoch may fail to form. */
+	#reform(order: EngineOrder & {readonly order: 'reform'}, now: number): void {
+		if (order.epoch === this.#epoch) {
+			return;
+		}
+
+		if (this.#mapVersion !== 0 && this.#mapVersion !== order.version) {
+			this.#loadedAt.set(this.#mapVersion, now);
+		}
+
+		this.#loadedAt.delete(order.version);
+		this.#epoch = order.epoch;
+		this.#members = order.members;
+		this.#mapVersion = order.version;
+		this.#step = order.step;
+		this.#gate = undefined;
+	}
+}
