--- /dev/null
+++ b/packages/endpoint/src/endpoint.ts
@@ -0,0 +1,346 @@
+/**
+ * The endpoint role: the only party that gives its engine or service work. It decides
+ * whether to take work, runs it and tells the entry exactly what is known of its outcome.
+ */
+import {once} from 'node:events';
+import {setInterval} from 'node:timers/promises';
+import {mergeTeardowns, type Teardown, unreachable} from '#core';
+import {EngineClient} from '#engine';
+import {type Peering} from '#peering';
+import {type MessageOf, type PeerLink, type WireLoad} from '#protocol';
+import {endpointState} from '#rules';
+import {ServiceClient} from '#service';
+import {type EndpointSettings} from '#settings';
+import {type Logger, type Metrics} from '#telemetry';
+import {CrashWindow} from './crash-window.js';
+import {LoadMonitor} from './load-monitor.js';
+import {WorkRun, type RunEnd, type RunSource} from './work-run.js';
+
+/** Load reports to the entries that subscribed. */
+const REPORT_INTERVAL_MS = 1000;
+
+/** Ids of finished attempts kept to drop a frame that arrives twice. */
+const MAX_SEEN = 10_000;
+
+export type EndpointOptions = {
+	readonly settings: EndpointSettings;
+	readonly peering: Peering;
+	readonly log: Logger;
+	readonly metrics: Metrics;
+	/** Aborted to stop at once; a planned stop uses `drain` before. */
+	readonly signal: AbortSignal;
+};
+
+type Refusal = {readonly reason: string; readonly outcome: 'not-run' | 'unknown'};
+
+function keyOf(work: {readonly requestId: string; readonly attempt: number}, link: PeerLink): string {
+	return `${link.peer.id} ${work.requestId} ${work.attempt}`;
+}
+
+export class Endpoint {
+	static create(options: EndpointOptions): Endpoint {
+		return new Endpoint(options);
+	}
+
+	readonly #options: EndpointOptions;
+	readonly #log: Logger;
+	readonly #engine: EngineClient | undefined;
+	readonly #service: ServiceClient | undefined;
+	readonly #monitor: LoadMonitor;
+	readonly #runs = new Map<string, WorkRun>();
+	readonly #seen = new Set<string>();
+	readonly #subscribers = new Set<PeerLink>();
+	readonly #crashes: CrashWindow;
+	readonly #idle = new EventTarget();
+	#draining = false;
+	#teardown: Teardown;
+
+	private constructor(options: EndpointOptions) {
+		this.#options = options;
+		this.#log = options.log.part('endpoint');
+		const {settings, peering, signal} = options;
+		this.#engine = settings.backend.kind === 'model' ? EngineClient.create(settings.backendUrl) : undefined;
+		this.#service = settings.backend.kind === 'service' ? ServiceClient.create(settings.backendUrl) : undefined;
+		this.#monitor = LoadMonitor.create(this.#engine, () => this.#localLoad(), signal);
+		this.#crashes = CrashWindow.create(() => new Map([...this.#runs].map(([key, run]) => [key, run.work.fingerprint])));
+		this.#teardown = mergeTeardowns(
+			peering.pool.registerLinkListener(link => {
+				this.#onLink(link);
+			}),
+			peering.pool.registerCloseListener(link => {
+				this.#subscribers.delete(link);
+			}),
+		);
+		void this.#report();
+	}
+
+	/** Client of the engine; undefined beside a plain service. */
+	get engine(): EngineClient | undefined {
+		return this.#engine;
+	}
+
+	/** Requests in progress. */
+	get running(): number {
+		return this.#runs.size;
+	}
+
+	/** True while this endpoint takes no new work, by rule or because it stops. */
+	get leaving(): boolean {
+		return this.#draining || this.#closedByRule;
+	}
+
+	/** Takes no new work from now on, tells all entries, and resolves once all work in progress has ended. */
+	async drain(): Promise<void> {
+		this.#draining = true;
+		this.#options.peering.setLeaving(true);
+		this.#log.info('draining', {running: this.running});
+		while (this.running > 0) {
+			await once(this.#idle, 'idle');
+		}
+
+		this.#log.info('drained');
+	}
+
+	/** Closes the connections to the back end. */
+	async close(): Promise<void> {
+		this.#teardown();
+		await Promise.all([this.#engine?.close(), this.#service?.close()]);
+	}
+
+	get #closedByRule(): boolean {
+		const {zone, id, group} = this.#options.peering.machine;
+		const names = group === undefined ? {zone, id} : {zone, id, group};
+		return endpointState(this.#options.peering.kernel.snapshot.ruleSet, names, Date.now()).kind === 'closed';
+	}
+
+	#localLoad(): {readonly queuedTokens: number; readonly running: number; readonly leaving: boolean} {
+		return {queuedTokens: 0, running: this.#runs.size, leaving: this.leaving};
+	}
+
+	#onLink(link: PeerLink): void {
+		if (link.peer.role !== 'entry') {
+			return;
+		}
+
+		link.registerMessage('work', work => {
+			void this.#take(link, work);
+		});
+		link.registerMessage('cancel', ({requestId, attempt}) => {
+			this.#cancel(link, requestId, attempt);
+		});
+		link.registerMessage('ack', ({requestId, attempt, offset}) => {
+			this.#runs.get(keyOf({requestId, attempt}, link))?.acknowledge(offset);
+		});
+		link.registerMessage('subscribe', ({reports}) => {
+			if (reports) {
+				this.#subscribers.add(link);
+				link.send(this.#reportMessage());
+			} else {
+				this.#subscribers.delete(link);
+			}
+		});
+	}
+
+	#cancel(link: PeerLink, requestId: string, attempt: number): void {
+		const key = keyOf({requestId, attempt}, link);
+		const run = this.#runs.get(key);
+		if (run === undefined) {
+			// The cancel overtook nothing: links keep their order, so the work has ended or never came.
+			this.#options.metrics.count('framesDropped', 'cancel-of-unknown');
+			return;
+		}
+
+		run.cancel();
+	}
+
+	/** Reason for which work is refused now, if any. Nothing has been sent to the back end at this point. */
+	#refusalOf(work: MessageOf<'work'>): Refusal | undefined {
+		const refuse = (reason: string): Refusal => ({reason, outcome: 'not-run'});
+		if (this.leaving) {
+			return refuse('leaving');
+		}
+
+		const wanted = work.target === 'model' ? this.#engine : this.#service;
+		if (wanted === undefined) {
+			return refuse('no-endpoint');
+		}
+
+		if (work.deadlineMs <= 0) {
+			return refuse('deadline');
+		}
+
+		return undefined;
+	}
+
+	async #take(link: PeerLink, work: MessageOf<'work'>): Promise<void> {
+		const {metrics} = this.#options;
+		const key = keyOf(work, link);
+		if (this.#seen.has(key)) {
+			metrics.count('framesDropped', 'duplicate-work');
+			return;
+		}
+
+		this.#remember(key);
+		const {requestId, attempt} = work;
+		const refusal = this.#refusalOf(work);
+		if (refusal !== undefined) {
+			metrics.count('endpointRefusals', refusal.reason);
+			link.send({
+				kind: 'refused', requestId, attempt, ...refusal, load: this.#load(),
+			});
+			return;
+		}
+
+		const run = WorkRun.create(link, work, this.#sourceOf(work));
+		this.#runs.set(key, run);
+		metrics.count('requests', work.target);
+		link.send({
+			kind: 'accepted', requestId, attempt, cachedTokens: 0, load: this.#load(),
+		});
+		const end = await run.run();
+		await this.#finish(key, run, end);
+	}
+
+	#remember(key: string): void {
+		this.#seen.add(key);
+		if (this.#seen.size > MAX_SEEN) {
+			const [oldest] = this.#seen;
+			this.#seen.delete(oldest ?? '');
+		}
+	}
+
+	#sourceOf(work: MessageOf<'work'>): RunSource {
+		const {
+			method, path, headers, body, requestId, priority,
+		} = work;
+		const engine = this.#engine;
+		const service = this.#service;
+		if (engine !== undefined) {
+			return {
+				run: async signal => engine.run({
+					method, path, headers, body, signal, requestId, priority,
+				}),
+				resume: async (offset, signal) => engine.resume(requestId, offset, signal),
+			};
+		}
+
+		return {
+			run: async signal => service === undefined
+				? {kind: 'not-sent', message: 'no back end'}
+				: service.run({
+					method, path, headers: {...headers, 'x-request-id': requestId}, body, signal,
+				}),
+			resume: undefined,
+		};
+	}
+
+	async #finish(key: string, run: WorkRun, end: RunEnd): Promise<void> {
+		try {
+			await this.#tellEnd(key, run, end);
+		} finally {
+			this.#runs.delete(key);
+			if (this.#runs.size === 0) {
+				this.#idle.dispatchEvent(new Event('idle'));
+			}
+		}
+	}
+
+	async #tellEnd(key: string, run: WorkRun, end: RunEnd): Promise<void> {
+		const {work, link} = run;
+		const {requestId, attempt} = work;
+		const fail = (reason: string, outcome: 'not-run' | 'unknown') => {
+			link.send({
+				kind: 'failed', requestId, attempt, reason, outcome, crashed: false, fingerprints: [],
+			});
+		};
+
+		switch (end.kind) {
+			case 'done': {
+				link.send({
+					kind: 'end', requestId, attempt, totalBytes: run.totalBytes, from: run.hashFrom, hash: run.hash, load: this.#load(),
+				});
+				return;
+			}
+
+			case 'cancelled': {
+				await this.#engine?.cancel(requestId);
+				return;
+			}
+
+			case 'not-sent': {
+				fail('engine-refused', 'not-run');
+				return;
+			}
+
+			case 'turned-down': {
+				fail('engine-refused', 'not-run');
+				return;
+			}
+
+			case 'prefix-mismatch': {
+				await this.#engine?.cancel(requestId);
+				fail('stream-lost', 'unknown');
+				return;
+			}
+
+			case 'lost': {
+				await this.#tellLost(key, run);
+				return;
+			}
+
+			default: {
+				unreachable(end);
+			}
+		}
+	}
+
+	async #tellLost(key: string, run: WorkRun): Promise<void> {
+		const {work, link} = run;
+		const loss = await this.#crashes.lost(key, work.fingerprint);
+		const crashed = loss.crashed && work.target === 'model';
+		this.#options.metrics.count('crashes', crashed ? 'engine' : 'connection');
+		this.#log.warn('back end lost a request', {requestId: work.requestId, crashed, batch: loss.fingerprints.length});
+		link.send({
+			kind: 'failed',
+			requestId: work.requestId,
+			attempt: work.attempt,
+			reason: crashed ? 'engine-crashed' : 'backend-error',
+			outcome: 'unknown',
+			crashed,
+			fingerprints: crashed ? loss.fingerprints : [],
+		});
+	}
+
+	#load(): WireLoad {
+		return this.#monitor.wire;
+	}
+
+	#reportMessage(): MessageOf<'report'> {
+		return {
+			kind: 'report', load: this.#load(), rulesVersion: this.#options.peering.kernel.snapshot.rules.newest.version, mapVersion: 0,
+		};
+	}
+
+	async #report(): Promise<void> {
+		const {signal} = this.#options;
+		try {
+			let wasLeaving = this.leaving;
+			for await (const _ of setInterval(REPORT_INTERVAL_MS, undefined, {signal, ref: false})) {
+				if (!this.#draining && this.leaving !== wasLeaving) {
+					wasLeaving = this.leaving;
+					this.#options.peering.setLeaving(wasLeaving);
+					this.#log.info(wasLeaving ? 'closed by rule' : 'opened by rule');
+				}
+
+				const report = this.#reportMessage();
+				for (const link of this.#subscribers) {
+					link.send(report);
+				}
+			}
+		} catch (error) {
+			if (!signal.aborted) {
+				this.#log.error('report task failed', {err: error});
+			}
+		}
+	}
+}
--- a/packages/platform/src/client.ts
+++ b/packages/platform/src/client.ts
@@ -5,7 +5,7 @@
 import {Agent} from 'undici';
 import type {z} from 'zod';
 import {
-	instancesSchema, listSchema, objectSchema, type Instance,
+	instancesSchema, listSchema, objectSchema, type InstanceListing,
 } from './schemas.js';
 import {TokenBucket, type BucketRate} from './token-bucket.js';
 import {
@@ -122,9 +122,8 @@
 	}
 
 	/** Lists the instances that the platform knows; the list lags. Failures: `unavailable`, `over-budget`. */
-	async listInstances(options?: CallOptions): Promise<Result<readonly Instance[], StoreFailure>> {
-		const result = await this.#call('listInstances', {method: 'GET', path: `${API}/instances`}, instancesSchema, options);
-		return result.kind === 'ok' ? ok(result.value.items) : result;
+	async listInstances(options?: CallOptions): Promise<Result<InstanceListing, StoreFailure>> {
+		return this.#call('listInstances', {method: 'GET', path: `${API}/instances`}, instancesSchema, options);
 	}
 
 	/**
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -2,6 +2,6 @@
 export {
 	PlatformClient, type CallCounts, type CallKind, type PlatformClientOptions,
 } from './client.js';
-export type {Instance} from './schemas.js';
+export type {Instance, InstanceListing} from './schemas.js';
 export type {WatchEvent} from './watch.js';
 export {TokenBucket, type BucketRate} from './token-bucket.js';
--- a/packages/platform/src/schemas.ts
+++ b/packages/platform/src/schemas.ts
@@ -33,7 +33,7 @@
 });
 
 /** The instances list. */
-export const instancesSchema = z.object({items: z.array(instanceSchema)});
+export const instancesSchema = z.object({resourceVersion: resourceVersionSchema, items: z.array(instanceSchema)});
 
 /** One line of a watch. */
 export const watchLineSchema = z.discriminatedUnion('type', [
@@ -46,3 +46,6 @@
 
 /** One instance as the platform's lagging list shows it. */
 export type Instance = Readonly<z.infer<typeof instanceSchema>>;
+
+/** The instances list with the version that it shows; a higher version is newer. */
+export type InstanceListing = Readonly<z.infer<typeof instancesSchema>>;
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -17,4 +17,5 @@
 export {PeerLink, type LinkCounts} from './peer-link.js';
 export {PeerServer, type PeerServerOptions} from './peer-server.js';
 export {dialPeer, type DialOptions} from './dial-peer.js';
+export {Checksum} from './checksum.js';
 export {LinkPool, type AskHandler, type LinkPoolOptions} from './link-pool.js';
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -18,12 +18,12 @@
 const name = z.string().max(256);
 const requestId = z.string().min(1).max(128);
 const count = z.number().int().nonnegative();
-const bytes = z.instanceof(Uint8Array);
+const bytes = z.custom<Uint8Array>(value => value instanceof Uint8Array, 'not bytes');
 const headers = z.record(z.string().max(256), z.string().max(16_384));
 const outcome = z.enum(['not-run', 'unknown']);
 
 /** Load of a replica as it travels in reports and answers. */
-const loadSchema = z.tuple([count, count, z.number().nonnegative(), z.number().nonnegative(), count, z.boolean()]);
+const loadSchema = z.tuple([count, count, z.number().nonnegative(), z.number().nonnegative(), count, z.boolean()]).readonly();
 
 /** How a request may share an endpoint with others. */
 export const soloModes = ['shared', 'no-other-suspect', 'alone'] as const;
@@ -61,10 +61,10 @@
 		requestId, attempt: count, offset: count, data: bytes,
 	}),
 	end: z.object({
-		requestId, attempt: count, totalBytes: count, hash: z.string().max(16), load: loadSchema,
+		requestId, attempt: count, totalBytes: count, from: count, hash: z.string().max(16), load: loadSchema,
 	}),
 	failed: z.object({
-		requestId, attempt: count, reason: name, outcome, crashed: z.boolean(), fingerprints: z.array(name).max(4096),
+		requestId, attempt: count, reason: name, outcome, crashed: z.boolean(), fingerprints: z.array(name).max(4096).readonly(),
 	}),
 	cancel: z.object({requestId, attempt: count}),
 	ack: z.object({requestId, attempt: count, offset: count}),
@@ -78,7 +78,7 @@
 		base: count,
 		keepStart: count,
 		keepEnd: count,
-		lines: z.array(z.string()),
+		lines: z.array(z.string()).readonly(),
 		hash: z.string().max(16),
 	}),
 	announce: z.object({machine: z.unknown(), incarnation: z.string().max(64)}),
--- a/packages/standins-engine/src/index.ts
+++ b/packages/standins-engine/src/index.ts
@@ -20,3 +20,5 @@
 export {
 	Run, type RunReader, type RunState,
 } from './run.js';
+export * from './rank.js';
+export * from './lock-step-group.js';
--- a/packages/standins-platform/src/instance-list.ts
+++ b/packages/standins-platform/src/instance-list.ts
@@ -30,6 +30,7 @@
 	readonly #lagMs: number;
 	readonly #visible = new Map<string, InstanceRecord>();
 	#waiting: Registration[] = [];
+	#revision = 0;
 
 	private constructor(lagMs: number) {
 		this.#lagMs = lagMs;
@@ -45,10 +46,11 @@
 		this.#waiting.push({at: now, id, instance: undefined});
 	}
 
-	/** Instances that readers see at `now` (ms), ordered by id. */
-	visible(now: number): readonly InstanceRecord[] {
+	/** What readers see at `now` (ms): instances ordered by id, and a version that grows with each visible change. */
+	visible(now: number): {readonly resourceVersion: string; readonly items: readonly InstanceRecord[]} {
 		const due = this.#waiting.filter(registration => registration.at + this.#lagMs <= now);
 		this.#waiting = this.#waiting.filter(registration => registration.at + this.#lagMs > now);
+		this.#revision += due.length;
 		for (const {id, instance} of due) {
 			if (instance === undefined) {
 				this.#visible.delete(id);
@@ -57,6 +59,9 @@
 			}
 		}
 
-		return [...this.#visible.values()].toSorted((a, b) => a.id < b.id ? -1 : 1);
+		return {
+			resourceVersion: String(this.#revision + 1),
+			items: [...this.#visible.values()].toSorted((a, b) => a.id < b.id ? -1 : 1),
+		};
 	}
 }
--- a/packages/standins-platform/src/platform-server.ts
+++ b/packages/standins-platform/src/platform-server.ts
@@ -294,7 +294,7 @@
 			}
 
 			case 'listInstances': {
-				sendJson(res, 200, {items: this.#instances.visible(this.#now())});
+				sendJson(res, 200, this.#instances.visible(this.#now()));
 				break;
 			}
 
