Parse, check, compare and write rules files

Cause: operators' rules need a grammar whose mistakes are all reported at once. Change: the grammar (packages/rules/README.md), parseRules with findings for single lines and across lines, formatRules, diffRules, edits that keep the operators' comments, and hints for mistyped words. Ruled out: a parser generator, since the grammar is words and key=value pairs and each finding needs its own text; full-line comments inside a rule set, since edits work on the text and keep them there. Checked: with the check of the author's name disabled by hand, the cases 'empty name' and 'name of digits' failed (4 assertions); it is restored.

--- a/packages/rules/src/index.ts
+++ b/packages/rules/src/index.ts
@@ -39,3 +39,12 @@
 	workspaceByKeyHash,
 	type ResolvedModel,
 } from './queries.js';
+export {isAuthor} from './asked-by.js';
+export {maxLineChars, maxRulesBytes, parseRules} from './parse.js';
+export {formatRule, formatRules, formatStatement} from './format.js';
+export {formatHours, formatTime} from './time-values.js';
+export {
+	diffRules, isEmptyDiff, ruleKey, type RulesDiff,
+} from './diff.js';
+export {appendRule, removeLines} from './edit.js';
+export {describeWords, nearestWord} from './nearest-word.js';
--- /dev/null
+++ b/packages/rules/src/nearest-word.ts
@@ -0,0 +1,52 @@
+/**
+ * The allowed word that a mistyped one most likely stands for.
+ *
+ * @returns Undefined when none differs by at most a third of its letters.
+ */
+export function nearestWord(word: string, allowed: readonly string[]): string | undefined {
+	const lower = word.toLowerCase();
+	const ranked = allowed
+		.filter(candidate => Math.abs(candidate.length - word.length) <= maxDistance(candidate))
+		.map(candidate => ({candidate, distance: editDistance(lower, candidate.toLowerCase())}))
+		.filter(({candidate, distance}) => distance <= maxDistance(candidate))
+		.toSorted((a, b) => a.distance - b.distance);
+	return ranked[0]?.candidate;
+}
+
+/** Lists the allowed words, with the most likely one when there is one. */
+export function describeWords(word: string, allowed: readonly string[]): string {
+	const list = allowed.length === 1 ? `${allowed[0]}` : `one of ${allowed.join(', ')}`;
+	const nearest = nearestWord(word, allowed);
+	return nearest === undefined ? list : `${list}; did you mean ${nearest}?`;
+}
+
+function maxDistance(candidate: string): number {
+	return Math.max(1, Math.floor(candidate.length / 3));
+}
+
+/** Optimal string alignment distance: insertions, deletions, substitutions and swaps of neighbours. */
+function editDistance(a: string, b: string): number {
+	const rows: number[][] = [Array.from({length: b.length + 1}, (_, j) => j)];
+	for (let i = 1; i <= a.length; i += 1) {
+		const row = [i];
+		for (let j = 1; j <= b.length; j += 1) {
+			row.push(cellDistance(a, b, [i, j], [...rows, row]));
+		}
+
+		rows.push(row);
+	}
+
+	return rows.at(-1)?.at(-1) ?? 0;
+}
+
+function cellDistance(a: string, b: string, [i, j]: readonly [number, number], rows: ReadonlyArray<readonly number[]>): number {
+	const at = (row: number, column: number) => rows[row]?.[column] ?? Number.POSITIVE_INFINITY;
+	const cost = a[i - 1] === b[j - 1] ? 0 : 1;
+	const isSwap = i > 1 && j > 1 && a[i - 1] === b[j - 2] && a[i - 2] === b[j - 1];
+	return Math.min(
+		at(i - 1, j) + 1,
+		at(i, j - 1) + 1,
+		at(i - 1, j - 1) + cost,
+		isSwap ? at(i - 2, j - 2) + 1 : Number.POSITIVE_INFINITY,
+	);
+}
--- a/packages/rules/src/rule-set.ts
+++ b/packages/rules/src/rule-set.ts
@@ -16,7 +16,9 @@
 		switch (rule.kind) {
 			case 'access': {
 				const key = targetKey(rule.target);
-				access.set(key, [...(access.get(key) ?? []), rule]);
+				const list = access.get(key) ?? [];
+				access.set(key, list);
+				list.push(rule);
 				break;
 			}
 
--- /dev/null
+++ b/packages/rules/src/statement-reader.ts
@@ -0,0 +1,135 @@
+import {describeWords} from './nearest-word.js';
+import {excerpt, type Problem, type ValueReader} from './problem.js';
+import type {SourceLine, Word} from './source-line.js';
+import type {Result} from '#core';
+
+/** The options of one kind of rule, by key. */
+export type OptionReaders = Readonly<Record<string, ValueReader<unknown>>>;
+
+/** The options that were read without a problem. */
+export type OptionValues<Readers extends OptionReaders> = {
+	readonly [Key in keyof Readers]?: Readers[Key] extends ValueReader<infer Value> ? Value : never;
+};
+
+/** Reads the words of one line in order and collects the problems. */
+export class StatementReader {
+	static create(line: SourceLine): StatementReader {
+		return new StatementReader(line);
+	}
+
+	readonly #line: SourceLine;
+	readonly #problems: Problem[] = [];
+	#position = 0;
+
+	private constructor(line: SourceLine) {
+		this.#line = line;
+	}
+
+	/** Problems found so far, in the order of discovery. */
+	get problems(): readonly Problem[] {
+		return this.#problems;
+	}
+
+	/** True when no word is left. */
+	get isAtEnd(): boolean {
+		return this.#position >= this.#line.words.length;
+	}
+
+	/** Adds a problem that spans several words; it is placed at the start of `key` or at the line's end. */
+	addProblem(key: string, read: string, allowed: string): void {
+		const word = this.#line.words.find(({text}) => text.startsWith(`${key}=`));
+		this.#problems.push({
+			column: word?.column ?? this.#line.endColumn, key, read: excerpt(read), allowed,
+		});
+	}
+
+	/** The next word, one of `words`. Undefined after a problem. */
+	keyword<Allowed extends string>(words: readonly Allowed[]): Allowed | undefined {
+		const word = this.#next(describeWords('', words));
+		const found = words.find(candidate => candidate === word?.text);
+		if (word !== undefined && found === undefined) {
+			this.#problems.push({column: word.column, read: excerpt(word.text), allowed: describeWords(word.text, words)});
+		}
+
+		return found;
+	}
+
+	/** The next word, read by `read`. Undefined after a problem. */
+	value<Value>(what: string, read: ValueReader<Value>): Value | undefined {
+		const word = this.#next(what);
+		return word === undefined ? undefined : this.#accept(read(word.text), word.column);
+	}
+
+	/** Reports the words that follow the end of the rule. */
+	end(): void {
+		const word = this.#line.words[this.#position];
+		if (word !== undefined) {
+			this.#problems.push({column: word.column, read: excerpt(word.text), allowed: 'a comment or the end of the line'});
+		}
+	}
+
+	/** All remaining words as `key=value`. Keys of `required` that are missing are problems. */
+	options<Readers extends OptionReaders>(readers: Readers, required: ReadonlyArray<keyof Readers & string>): OptionValues<Readers> {
+		const values = new Map<string, unknown>();
+		const seen = new Set<string>();
+		for (const word of this.#line.words.slice(this.#position)) {
+			const [key, value] = splitOption(word.text);
+			const read = Object.hasOwn(readers, key) ? readers[key] : undefined;
+			if (read === undefined || value === undefined) {
+				this.#problems.push({column: word.column, read: excerpt(word.text), allowed: describeOptions(key, Object.keys(readers))});
+			} else if (seen.has(key)) {
+				this.#problems.push({
+					column: word.column, key, read: excerpt(word.text), allowed: 'each option once',
+				});
+			} else {
+				values.set(key, this.#accept(read(value), word.column + key.length + 1, key));
+			}
+
+			seen.add(key);
+		}
+
+		for (const key of required.filter(name => !seen.has(name))) {
+			this.#problems.push({
+				column: this.#line.endColumn, key, read: '', allowed: `${key}=...`,
+			});
+		}
+
+		return Object.fromEntries([...values].filter(([, value]) => value !== undefined)) as OptionValues<Readers>;
+	}
+
+	#next(allowed: string): Word | undefined {
+		const word = this.#line.words[this.#position];
+		if (word === undefined) {
+			this.#problems.push({column: this.#line.endColumn, read: '', allowed});
+			return undefined;
+		}
+
+		this.#position += 1;
+		return word;
+	}
+
+	#accept<Value>(
+		result: Result<Value, ReadonlyArray<{readonly offset: number; readonly read: string; readonly allowed: string}>>,
+		column: number,
+		key?: string,
+	): Value | undefined {
+		if (result.kind === 'ok') {
+			return result.value;
+		}
+
+		const named = key === undefined ? {} : {key};
+		this.#problems.push(...result.failure.map(({offset, read, allowed}) => ({
+			column: column + offset, ...named, read, allowed,
+		})));
+		return undefined;
+	}
+}
+
+function splitOption(text: string): readonly [string, string | undefined] {
+	const sign = text.indexOf('=');
+	return sign === -1 ? [text, undefined] : [text.slice(0, sign), text.slice(sign + 1)];
+}
+
+function describeOptions(key: string, keys: readonly string[]): string {
+	return `key=value with a key that is ${describeWords(key, keys)}`;
+}
