--- /dev/null
+++ b/packages/quarantine/src/suspect-record.ts
@@ -0,0 +1,81 @@
+/** Transitions of one suspect's record. */
+import {type Crash, type Permit, type SuspectRecord} from './types.js';
+
+/** A request crashes at most this many endpoints. */
+export const MAX_CRASHES = 3;
+/** From this many crashes on, a suspect runs only alone. */
+export const ALONE_FROM_CRASHES = 2;
+/** Crashes kept in a record; an innocent request may be in more batches, and repeats must be told apart. */
+const MAX_KEPT_CRASHES = 8;
+/** Ended attempts kept in a record. */
+const MAX_KEPT_ENDED = 8;
+
+export function newRecord(fingerprint: string, now: number): SuspectRecord {
+	return {
+		fingerprint, crashes: [], cleared: false, permit: undefined, ended: [], crashedAt: now,
+	};
+}
+
+/** Only a request that crashed while alone is quarantined; any number of crashes in batches with others is no proof. */
+export function isQuarantined({crashes}: SuspectRecord): boolean {
+	return crashes.length >= MAX_CRASHES && crashes.some(({alone}) => alone);
+}
+
+/** Whether it may run only alone on an endpoint. */
+export function runsAlone({crashes}: SuspectRecord): boolean {
+	return crashes.length >= ALONE_FROM_CRASHES;
+}
+
+/** Whether it may run without a permission. */
+export function runsFreely(record: SuspectRecord): boolean {
+	return record.crashes.length === 0 || (record.cleared && !runsAlone(record));
+}
+
+/** Bounds the list; a crash while alone decides the quarantine and goes last. */
+function keptCrashes(crashes: readonly Crash[]): readonly Crash[] {
+	return crashes.toSorted((a, b) => Number(a.alone) - Number(b.alone)).slice(-MAX_KEPT_CRASHES);
+}
+
+/** Adds a crash, which ends the attempt's permission; a repeat changes nothing. */
+export function withCrash(record: SuspectRecord, crash: Crash, permitId: string, now: number): SuspectRecord {
+	if (record.crashes.some(({crashId}) => crashId === crash.crashId)) {
+		return record;
+	}
+
+	return {
+		...withEnd(record, permitId, false),
+		crashes: keptCrashes([...record.crashes, crash]),
+		crashedAt: now,
+	};
+}
+
+/** Gives the permission. */
+export function withPermit(record: SuspectRecord, permit: Permit): SuspectRecord {
+	return {...record, permit};
+}
+
+/** Notes the end of an attempt, also of one whose permission is not known here. */
+export function withEnd(record: SuspectRecord, permitId: string, cleared: boolean): SuspectRecord {
+	return {
+		...record,
+		cleared,
+		permit: record.permit?.permitId === permitId ? undefined : record.permit,
+		ended: [...record.ended.filter(id => id !== permitId), permitId].slice(-MAX_KEPT_ENDED),
+	};
+}
+
+/** Joins two copies of a record. Crashes add up; a permission survives unless either copy saw its end. */
+export function joined(a: SuspectRecord, b: SuspectRecord): SuspectRecord {
+	const known = new Set(a.crashes.map(({crashId}) => crashId));
+	const crashes = keptCrashes([...a.crashes, ...b.crashes.filter(({crashId}) => !known.has(crashId))]);
+	const ended = [...new Set([...a.ended, ...b.ended])].slice(-MAX_KEPT_ENDED);
+	const permit_ = [a.permit, b.permit].find(permit => permit !== undefined && !ended.includes(permit.permitId));
+	return {
+		fingerprint: a.fingerprint,
+		crashes,
+		cleared: a.crashes.length === b.crashes.length ? a.cleared || b.cleared : (a.crashes.length > b.crashes.length ? a : b).cleared,
+		permit: permit_,
+		ended,
+		crashedAt: Math.max(a.crashedAt, b.crashedAt),
+	};
+}
