--- /dev/null
+++ b/packages/standins-engine/__tests__/unit/answer.test.ts
@@ -0,0 +1,104 @@
+import {Buffer} from 'node:buffer';
+import t from 'tap';
+import fc from 'fast-check';
+import {InputError} from '#core';
+import {
+	createAnswer, createRandom, expectedBytes, parseInferenceRequest, prefixHashes, Run, type RunReader,
+} from '#standins-engine';
+
+const chat = {model: 'drafting', messages: [{role: 'user', content: 'prepare a notice'}]};
+
+// A body or id that did not determine the bytes would make every splice and answer check unreliable.
+const bodies = [
+	{name: 'chat', kind: 'chat', body: chat},
+	{name: 'streamed chat', kind: 'chat', body: {...chat, stream: true, stream_options: {include_usage: true}}},
+	{name: 'text', kind: 'text', body: {model: 'drafting', prompt: ['a', 'b'], max_tokens: 3}},
+	{
+		name: 'streamed text', kind: 'text', body: {
+			model: 'drafting', prompt: 'x', stream: true, max_completion_tokens: 5,
+		},
+	},
+] as const;
+await t.test('the same body and id give the same bytes, another id or body gives others', t => {
+	for (const {name, kind, body} of bodies) {
+		const bytes = Buffer.from(expectedBytes(kind, body, 'r1'));
+		t.ok(bytes.equals(expectedBytes(kind, structuredClone(body), 'r1')), name);
+		t.notOk(bytes.equals(expectedBytes(kind, body, 'r2')), name);
+		t.notOk(bytes.equals(expectedBytes(kind, {...body, seed: 4}, 'r1')), name);
+		t.equal(bytes.includes('data: [DONE]\n\n'), 'stream' in body, name);
+	}
+
+	t.end();
+});
+
+await t.test('a streamed and a whole answer have the same text, of the length asked for', t => {
+	const answers = [true, false].map(stream => createAnswer(parseInferenceRequest('chat', {...chat, stream, max_tokens: 9}), 'r'));
+	t.equal(answers[0]?.text, answers[1]?.text);
+	t.same(answers.map(answer => answer.tokens), [9, 9]);
+	t.end();
+});
+
+await t.test('a body of another shape is refused as bad input', t => {
+	for (const body of [{}, {model: 'm'}, {...chat, n: 2}, {...chat, max_tokens: 0}, {...chat, messages: []}, null]) {
+		t.throws(() => expectedBytes('chat', body, 'r'), InputError, JSON.stringify(body));
+	}
+
+	t.end();
+});
+
+function collect(): {readonly reader: RunReader; readonly bytes: () => Uint8Array; readonly ends: string[]} {
+	const pieces: Uint8Array[] = [];
+	const ends: string[] = [];
+	return {
+		reader: {
+			write(bytes) {
+				pieces.push(bytes);
+			},
+			end() {
+				ends.push('done');
+			},
+			abort(state) {
+				ends.push(state);
+			},
+		},
+		bytes: () => Buffer.concat(pieces),
+		ends,
+	};
+}
+
+await t.test('a reader that attaches at any offset and any progress gets the identical rest', t => {
+	const request = parseInferenceRequest('chat', {...chat, stream: true});
+	const expected = Buffer.from(expectedBytes('chat', {...chat, stream: true}, 'r'));
+	fc.assert(fc.property(fc.nat({max: expected.length}), fc.nat({max: 90}), (offset, progress) => {
+		const run = Run.create({
+			request, answer: createAnswer(request, 'r'), priority: 0, sequence: 0,
+		});
+		const {reader, bytes, ends} = collect();
+		for (let step = 0; step < progress && !run.finished; step++) {
+			run.produce();
+		}
+
+		run.attach(offset, reader);
+		while (!run.finished) {
+			run.produce();
+		}
+
+		return expected.subarray(offset).equals(bytes()) && ends.join(',') === 'done';
+	}), {seed: 7, numRuns: 300});
+	t.end();
+});
+
+await t.test('the same seed gives the same numbers, in range', t => {
+	const [a, b] = [createRandom(5), createRandom(5)];
+	const numbers = Array.from({length: 50}, () => a.next());
+	t.same(numbers, Array.from({length: 50}, () => b.next()));
+	t.ok(numbers.every(value => value >= 0 && value < 1));
+	t.end();
+});
+
+await t.test('prompts with a common beginning share prefix hashes of whole blocks', t => {
+	const [a, b] = [prefixHashes('s'.repeat(130) + 'a'.repeat(70)), prefixHashes('s'.repeat(130) + 'b'.repeat(70))];
+	t.same(a.slice(0, 2), b.slice(0, 2));
+	t.not(a[2], b[2]);
+	t.end();
+});
--- /dev/null
+++ b/packages/standins-engine/__tests__/unit/state.test.ts
@@ -0,0 +1,76 @@
+import t from 'tap';
+import {
+	Batch, CacheLog, createAnswer, LaggedValue, parseFaultChange, parseInferenceRequest, PrefixCache, Run,
+} from '#standins-engine';
+
+function createRun(id: string, priority: number, maxTokens = 2): Run {
+	const request = parseInferenceRequest('text', {model: 'drafting', prompt: 'p'.repeat(40), max_tokens: maxTokens});
+	return Run.create({
+		request, answer: createAnswer(request, id), priority, sequence: 0,
+	});
+}
+
+await t.test('load is seen with its lag, never earlier', t => {
+	const load = LaggedValue.create('none');
+	load.record(100, 'a');
+	load.record(200, 'b');
+	t.same([load.read(150, 100), load.read(200, 100), load.read(299, 100), load.read(300, 100)], ['none', 'a', 'a', 'b']);
+	t.end();
+});
+
+await t.test('cache events are late, and lost ones leave a gap that the reader can count', t => {
+	const numbers = [0.9, 0.1, 0.9];
+	const log = CacheLog.create(() => numbers.shift() ?? 0);
+	for (const hash of ['a', 'b', 'c']) {
+		log.append(100, {kind: 'stored', prefixHash: hash}, 0.5);
+	}
+
+	t.same(log.read(0, 150, 100), {next: 0, events: []});
+	const page = log.read(0, 200, 100);
+	t.same([page.next, page.events.map(event => event.prefixHash)], [3, ['a', 'c']]);
+	t.same(log.read(page.next, 900, 100), {next: 3, events: []});
+	t.end();
+});
+
+await t.test('the batch stays within its size, takes lower priority numbers first and spends its prefill budget', t => {
+	const started: string[] = [];
+	const batch = Batch.create({
+		maxRunning: 2, prefillTokensPerStep: 15, onStart(run) {
+			started.push(run.answer.requestId);
+		},
+	});
+	for (const [id, priority] of [['late', 9], ['a', 5], ['b', 5], ['urgent', 1]] as const) {
+		batch.add(createRun(id, priority));
+	}
+
+	batch.admit();
+	t.same(started, ['urgent', 'a']);
+	t.equal(batch.step().length, 1, '10 prompt tokens each: the budget of 15 finishes one prompt');
+	t.equal(batch.step().length, 2);
+	batch.admit();
+	t.same(started, ['urgent', 'a', 'b'], 'the finished run made room for one');
+	t.equal(batch.queuedTokens, 12);
+	t.end();
+});
+
+await t.test('the prefix cache is bounded and evicts the longest, least recently used prefix', t => {
+	const events: string[] = [];
+	const cache = PrefixCache.create(3, event => {
+		events.push(event.kind);
+	});
+	t.equal(cache.use('a'.repeat(128)), 0);
+	t.equal(cache.use('a'.repeat(128)), 32);
+	t.equal(cache.use('b'.repeat(128)), 0);
+	t.equal(cache.size, 3);
+	t.equal(cache.use('a'.repeat(128)), 16, 'the short prefix outlives the long one');
+	t.equal(events.filter(kind => kind === 'evicted').length, 2);
+	t.end();
+});
+
+await t.test('unknown faults and values out of range are refused instead of being ignored', t => {
+	for (const change of [{crashon: 'x'}, {slowFactor: 0}, {dropCacheEvents: 2}, {refuse: 200}, 3]) {
+		t.throws(() => parseFaultChange(change), /faults/u, JSON.stringify(change));
+	}
+
+	t.end();
+});
--- /dev/null
+++ b/packages/standins-proxy/src/fault-proxy.ts
@@ -0,0 +1,261 @@
+/** TCP proxy that injects faults, controlled by method or over HTTP. */
+import {once} from 'node:events';
+import {
+	connect, createServer, type AddressInfo, type Server, type Socket,
+} from 'node:net';
+import {fastify, type FastifyInstance} from 'fastify';
+import {
+	NO_FAULTS, parseProxyFaults, type Direction, type ProxyFaults,
+} from './proxy-faults.js';
+import {Pipe} from './pipe.js';
+import {InputError} from '#core';
+
+/** Options of a proxy. */
+export type FaultProxyOptions = {
+	/** Port to listen on; 0, the default, picks a free one. */
+	readonly listen?: number;
+	/** Address to listen on; default `127.0.0.1`. */
+	readonly host?: string;
+	/** `host:port` to connect to. */
+	readonly target: string;
+	/** Port of the HTTP control server; without it there is none. */
+	readonly control?: number;
+};
+
+/** Totals; bytes are those forwarded. */
+export type ProxyCounts = {
+	readonly connections: number;
+	readonly open: number;
+	readonly refused: number;
+	readonly resets: number;
+	readonly bytesUp: number;
+	readonly bytesDown: number;
+};
+
+type Link = {readonly client: Socket; readonly upstream: Socket; readonly pipes: Pipe[]};
+
+export class FaultProxy {
+	/**
+	 * Starts a proxy that listens.
+	 *
+	 * @throws InputError when `target` is not `host:port`.
+	 */
+	static async create(options: FaultProxyOptions): Promise<FaultProxy> {
+		const proxy = new FaultProxy(options.target);
+		proxy.#server.listen(options.listen ?? 0, options.host ?? '127.0.0.1');
+		await once(proxy.#server, 'listening');
+		if (options.control !== undefined) {
+			await proxy.#control.listen({host: options.host ?? '127.0.0.1', port: options.control});
+		}
+
+		return proxy;
+	}
+
+	#faults = NO_FAULTS;
+	#target: {readonly host: string; readonly port: number};
+	readonly #server: Server;
+	readonly #control: FastifyInstance = fastify({forceCloseConnections: true});
+	readonly #links = new Set<Link>();
+	readonly #counts = {
+		connections: 0, refused: 0, resets: 0, bytesUp: 0, bytesDown: 0,
+	};
+
+	private constructor(target: string) {
+		this.#target = parseTarget(target);
+		this.#server = createServer({allowHalfOpen: true}, client => {
+			this.#accept(client);
+		});
+		this.#addControlRoutes();
+	}
+
+	get port(): number {
+		return (this.#server.address() as AddressInfo).port;
+	}
+
+	/** `host:port` that clients connect to. */
+	get address(): string {
+		return `${(this.#server.address() as AddressInfo).address}:${this.port}`;
+	}
+
+	/** Port of the control server; 0 without one. */
+	get controlPort(): number {
+		return (this.#control.server.address() as AddressInfo | undefined)?.port ?? 0;
+	}
+
+	get faults(): ProxyFaults {
+		return this.#faults;
+	}
+
+	counts(): ProxyCounts {
+		return {...this.#counts, open: this.#links.size};
+	}
+
+	/** Sends new connections to another `host:port`. */
+	retarget(target: string): void {
+		this.#target = parseTarget(target);
+	}
+
+	/** Changes some faults; the others stay as they are. */
+	inject(change: Partial<ProxyFaults>): void {
+		this.#faults = {...this.#faults, ...change};
+		if (change.cut === 'both') {
+			this.#resetLinks(() => true);
+			this.#faults = {...this.#faults, cut: 'none'};
+		}
+
+		if (this.#faults.cut === 'none') {
+			this.#resetLinks(link => link.pipes.some(pipe => pipe.lostBytes));
+		}
+
+		for (const link of this.#links) {
+			for (const pipe of link.pipes) {
+				pipe.pump();
+			}
+		}
+	}
+
+	/** Resets all connections, or discards the bytes of one direction until `restore`. */
+	cut(direction: Direction | 'both' = 'both'): void {
+		this.inject({cut: direction});
+	}
+
+	/** Adds a delay in milliseconds in each direction. */
+	delay(delayMs: number): void {
+		this.inject({delayMs});
+	}
+
+	/** Limits each connection and direction; 0 removes the limit. */
+	slow(bytesPerSecond: number): void {
+		this.inject({bytesPerSecond});
+	}
+
+	/** Forwards nothing until `release`; data is kept. */
+	freeze(): void {
+		this.inject({frozen: true});
+	}
+
+	release(): void {
+		this.inject({frozen: false});
+	}
+
+	/** Forwards `bytes` more bytes, counted over all connections, then closes the connection that carries the next one. */
+	dropAfter(bytes: number): void {
+		this.inject({dropAfterBytes: bytes});
+	}
+
+	/** Resets new connections, or accepts them again. */
+	refuse(refuse = true): void {
+		this.inject({refuse});
+	}
+
+	/** Removes all faults. */
+	restore(): void {
+		this.inject(NO_FAULTS);
+	}
+
+	/** Resets all connections and stops. */
+	async close(): Promise<void> {
+		this.#resetLinks(() => true);
+		this.#server.close();
+		await Promise.all([once(this.#server, 'close'), this.#control.close()]);
+	}
+
+	#accept(client: Socket): void {
+		if (this.#faults.refuse) {
+			this.#counts.refused++;
+			client.resetAndDestroy();
+			return;
+		}
+
+		this.#counts.connections++;
+		const upstream = connect({...this.#target, allowHalfOpen: true, noDelay: true});
+		client.setNoDelay(true);
+		const link: Link = {client, upstream, pipes: []};
+		this.#links.add(link);
+		link.pipes.push(this.#pipe(link, 'up'), this.#pipe(link, 'down'));
+		for (const socket of [client, upstream]) {
+			socket.on('error', () => {
+				this.#reset(link);
+			});
+			socket.on('close', () => {
+				if (client.destroyed && upstream.destroyed) {
+					this.#links.delete(link);
+				}
+			});
+		}
+	}
+
+	#pipe(link: Link, direction: Direction): Pipe {
+		const [source, target] = direction === 'up' ? [link.client, link.upstream] : [link.upstream, link.client];
+		return Pipe.create({
+			source,
+			target,
+			direction,
+			faults: () => this.#faults,
+			onBytes: count => this.#countBytes(direction, count),
+			onDrop: () => {
+				this.#drop(link);
+			},
+		});
+	}
+
+	#countBytes(direction: Direction, count: number): number {
+		const {dropAfterBytes} = this.#faults;
+		const allowed = Math.min(count, dropAfterBytes ?? count);
+		if (dropAfterBytes !== null) {
+			this.#faults = {...this.#faults, dropAfterBytes: allowed < count ? null : dropAfterBytes - count};
+		}
+
+		this.#counts[direction === 'up' ? 'bytesUp' : 'bytesDown'] += allowed;
+		return allowed;
+	}
+
+	/** Closes without a reset, so that the bytes written before still arrive. */
+	#drop(link: Link): void {
+		if (this.#links.delete(link)) {
+			this.#counts.resets++;
+			link.client.destroy();
+			link.upstream.destroy();
+		}
+	}
+
+	#reset(link: Link): void {
+		if (this.#links.delete(link)) {
+			this.#counts.resets++;
+			link.client.resetAndDestroy();
+			link.upstream.resetAndDestroy();
+		}
+	}
+
+	#resetLinks(wanted: (link: Link) => boolean): void {
+		for (const link of [...this.#links].filter(candidate => wanted(candidate))) {
+			this.#reset(link);
+		}
+	}
+
+	#addControlRoutes(): void {
+		this.#control.setErrorHandler((error, _req, reply) => {
+			void reply.code(error instanceof InputError ? 400 : 500).send({error: error instanceof Error ? error.message : String(error)});
+		});
+		this.#control.get('/counts', async () => this.counts());
+		this.#control.get('/faults', async () => this.faults);
+		this.#control.post('/faults', async req => {
+			this.inject(parseProxyFaults(req.body));
+			return this.faults;
+		});
+		this.#control.post('/restore', async () => {
+			this.restore();
+			return this.faults;
+		});
+	}
+}
+
+function parseTarget(target: string): {readonly host: string; readonly port: number} {
+	const colon = target.lastIndexOf(':');
+	const port = Number(target.slice(colon + 1));
+	if (colon < 1 || !Number.isInteger(port) || port < 1 || port > 65_535) {
+		throw new InputError(`proxy target: read ${JSON.stringify(target)}, allowed: HOST:PORT`);
+	}
+
+	return {host: target.slice(0, colon), port};
+}
--- /dev/null
+++ b/packages/standins-proxy/src/index.ts
@@ -0,0 +1,5 @@
+/** Fault-injecting TCP proxy. */
+export {FaultProxy, type FaultProxyOptions, type ProxyCounts} from './fault-proxy.js';
+export {
+	NO_FAULTS, parseProxyFaults, type Direction, type ProxyFaults,
+} from './proxy-faults.js';
--- /dev/null
+++ b/packages/standins-proxy/src/pipe.ts
@@ -0,0 +1,138 @@
+/** One direction of one proxied connection, with the faults in force applied to its data. */
+import type {Socket} from 'node:net';
+import {performance} from 'node:perf_hooks';
+import type {Direction, ProxyFaults} from './proxy-faults.js';
+
+/** Data kept before the source is paused, in bytes. */
+const MAX_QUEUED_BYTES = 256 * 1024;
+
+/** Time between two writes of a slowed connection in milliseconds. */
+const SLOW_TICK_MS = 10;
+
+export type PipeOptions = {
+	readonly source: Socket;
+	readonly target: Socket;
+	readonly direction: Direction;
+	readonly faults: () => ProxyFaults;
+	/** Called before bytes are forwarded; returns how many of them may be. */
+	readonly onBytes: (count: number) => number;
+	/** Called when fewer bytes than those taken were forwarded and have been written. */
+	readonly onDrop: () => void;
+};
+
+type Piece = {readonly readyAt: number; readonly bytes: Uint8Array};
+
+export class Pipe {
+	static create(options: PipeOptions): Pipe {
+		return new Pipe(options);
+	}
+
+	/** Whether a cut discarded bytes of this direction. */
+	lostBytes = false;
+	readonly #options: PipeOptions;
+	readonly #queue: Piece[] = [];
+	#queuedBytes = 0;
+	#ended = false;
+	#timer: NodeJS.Timeout | undefined;
+
+	private constructor(options: PipeOptions) {
+		this.#options = options;
+		const {source, target} = options;
+		source.on('data', bytes => {
+			this.#take(bytes);
+		});
+		source.on('end', () => {
+			this.#ended = true;
+			this.pump();
+		});
+		source.on('close', () => {
+			clearTimeout(this.#timer);
+		});
+		target.on('drain', () => {
+			this.pump();
+		});
+	}
+
+	/** Forwards what may be forwarded now; called again when the faults change. */
+	pump(): void {
+		clearTimeout(this.#timer);
+		const {source, target, faults} = this.#options;
+		if (faults().frozen || target.destroyed) {
+			return;
+		}
+
+		while (this.#queue.length > 0 && !target.writableNeedDrain) {
+			const waitMs = (this.#queue[0]?.readyAt ?? 0) - performance.now();
+			if (waitMs > 0) {
+				this.#pumpIn(waitMs);
+				return;
+			}
+
+			if (!this.#forward()) {
+				return;
+			}
+		}
+
+		if (this.#queuedBytes < MAX_QUEUED_BYTES) {
+			source.resume();
+		}
+
+		if (this.#ended && this.#queue.length === 0) {
+			target.end();
+		}
+	}
+
+	#take(bytes: Uint8Array): void {
+		const {source, direction, faults} = this.#options;
+		if (faults().cut === direction) {
+			this.lostBytes = true;
+			return;
+		}
+
+		this.#queue.push({readyAt: performance.now() + faults().delayMs, bytes});
+		this.#queuedBytes += bytes.length;
+		if (this.#queuedBytes >= MAX_QUEUED_BYTES) {
+			source.pause();
+		}
+
+		this.pump();
+	}
+
+	/** Writes the first piece or, on a slowed connection, a part of it; false ends the pumping. */
+	#forward(): boolean {
+		const piece = this.#queue.shift();
+		if (piece === undefined) {
+			return false;
+		}
+
+		const {bytesPerSecond} = this.#options.faults();
+		const limit = bytesPerSecond === 0 ? piece.bytes.length : Math.max(1, Math.floor(bytesPerSecond * SLOW_TICK_MS / 1000));
+		const now = piece.bytes.subarray(0, limit);
+		const rest = piece.bytes.subarray(limit);
+		const tickMs = bytesPerSecond === 0 ? 0 : now.length * 1000 / bytesPerSecond;
+		if (rest.length > 0) {
+			this.#queue.unshift({readyAt: performance.now() + tickMs, bytes: rest});
+		}
+
+		this.#queuedBytes -= now.length;
+		const allowed = this.#options.onBytes(now.length);
+		if (allowed < now.length) {
+			this.#options.target.write(now.subarray(0, allowed), this.#options.onDrop);
+			return false;
+		}
+
+		this.#options.target.write(now);
+		if (tickMs > 0) {
+			this.#pumpIn(tickMs);
+		}
+
+		return tickMs === 0;
+	}
+
+	#pumpIn(waitMs: number): void {
+		clearTimeout(this.#timer);
+		this.#timer = setTimeout(() => {
+			this.pump();
+		}, Math.ceil(waitMs));
+	}
+}
