--- a/packages/standins-engine/src/engine-options.ts
+++ b/packages/standins-engine/src/engine-options.ts
@@ -19,8 +19,14 @@
 	readonly experts: number;
 	/** Seed for lost cache events and expert choice. */
 	readonly seed: number;
-	/** Rank in its group. */
-	readonly rank: number;
+	/** Id of the endpoint that runs beside this engine; names the rank in its group. */
+	readonly rankId: string;
+	/** Ids of all ranks of the group; one engine that stands alone if there are no others. */
+	readonly members: readonly string[];
+	/** Map in use at the start. */
+	readonly mapVersion: number;
+	/** Time to load a prepared map in milliseconds. */
+	readonly mapLoadMs: number;
 };
 
 export const DEFAULT_ENGINE_OPTIONS: EngineOptions = {
@@ -34,5 +40,8 @@
 	layers: 2,
 	experts: 64,
 	seed: 1,
-	rank: 0,
+	rankId: 'rank-0',
+	members: [],
+	mapVersion: 1,
+	mapLoadMs: 0,
 };
--- a/packages/standins-engine/src/index.ts
+++ b/packages/standins-engine/src/index.ts
@@ -20,3 +20,8 @@
 export {
 	Run, type RunReader, type RunState,
 } from './run.js';
+export {LockStepGroup, MAX_RANKS, type StepRecord} from './lock-step-group.js';
+export {EngineRank, type RankKind, type RankOptions} from './rank.js';
+export {GroupDriver, type DrivenEngine} from './group-driver.js';
+export {EngineGroup, type EngineGroupOptions} from './engine-group.js';
+export {parseOrder} from './order-schema.js';
