--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,5 @@
+/** Public index: start a daemon from its settings. */
+export {registerSignals, startDaemon, type Daemon} from './daemon.js';
+export {
+	createDaemonContainer, describeMachine, formatAddress, type Cradle,
+} from './container.js';
--- a/packages/endpoint/src/endpoint.ts
+++ b/packages/endpoint/src/endpoint.ts
@@ -4,6 +4,9 @@
  */
 import {once} from 'node:events';
 import {setInterval} from 'node:timers/promises';
+import {CrashWindow} from './crash-window.js';
+import {LoadMonitor} from './load-monitor.js';
+import {WorkRun, type RunEnd, type RunSource} from './work-run.js';
 import {mergeTeardowns, type Teardown, unreachable} from '#core';
 import {EngineClient} from '#engine';
 import {type Peering} from '#peering';
@@ -12,9 +15,6 @@
 import {ServiceClient} from '#service';
 import {type EndpointSettings} from '#settings';
 import {type Logger, type Metrics} from '#telemetry';
-import {CrashWindow} from './crash-window.js';
-import {LoadMonitor} from './load-monitor.js';
-import {WorkRun, type RunEnd, type RunSource} from './work-run.js';
 
 /** Load reports to the entries that subscribed. */
 const REPORT_INTERVAL_MS = 1000;
@@ -53,7 +53,7 @@
 	readonly #crashes: CrashWindow;
 	readonly #idle = new EventTarget();
 	#draining = false;
-	#teardown: Teardown;
+	readonly #teardown: Teardown;
 
 	private constructor(options: EndpointOptions) {
 		this.#options = options;
--- a/packages/entry/src/answer.ts
+++ b/packages/entry/src/answer.ts
@@ -4,8 +4,8 @@
  */
 import {Buffer} from 'node:buffer';
 import {type ServerResponse} from 'node:http';
-import {Checksum} from '#protocol';
 import {renderRefusal, type Refusal} from './refusal.js';
+import {Checksum} from '#protocol';
 
 const STREAM_TYPE = 'text/event-stream';
 
--- a/packages/entry/src/attempt-table.ts
+++ b/packages/entry/src/attempt-table.ts
@@ -1,8 +1,8 @@
 /** The attempts in progress of one entry; gives each frame to its attempt. */
+import {type Attempt} from './attempt.js';
 import {type Teardown, mergeTeardowns} from '#core';
 import {type LinkPool, type PeerLink} from '#protocol';
 import {type Metrics} from '#telemetry';
-import {type Attempt} from './attempt.js';
 
 const frameKinds = ['accepted', 'refused', 'head', 'chunk', 'end', 'failed'] as const;
 
--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -2,10 +2,10 @@
  * One attempt of a request at one endpoint. Frames are tied to request and attempt; a
  * frame that is late, crossed or out of place is dropped and counted.
  */
+import {type Outcome} from './refusal.js';
 import {
 	Checksum, type MessageOf, type PeerLink, type WireLoad,
 } from '#protocol';
-import {type Outcome} from './refusal.js';
 
 /** How an attempt ended. */
 export type AttemptEnd
--- /dev/null
+++ b/packages/harness/src/test-fleet.ts
@@ -0,0 +1,251 @@
+/**
+ * A small fleet of real processes on loopback: the platform, engines and services as
+ * stand-ins, and the daemons. Tests, the demo and benchmarks use it.
+ */
+import {createHash} from 'node:crypto';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {request} from 'undici';
+import {Child} from './child.js';
+
+export const SHARED_KEY = 'shared key of the test fleet';
+export const PLATFORM_KEY = 'platform key of the test fleet';
+export const OPERATOR_KEY = 'operator key of the test fleet';
+const LOOPBACK = '127.0.0.1';
+
+/** Where a machine of the fleet stands. */
+export type Place = {readonly region?: string; readonly zone?: string};
+
+export type EngineOptions = Place & {
+	readonly group?: string;
+	readonly groupSize?: number;
+	readonly ranks?: string;
+	readonly models?: readonly string[];
+	/** Further arguments of the stand-in engine. */
+	readonly args?: readonly string[];
+};
+
+export type ServiceOptions = Place & {readonly service: string; readonly args?: readonly string[]};
+
+/** A back end with its endpoint process. */
+export type EndpointNode = {
+	readonly id: string;
+	readonly backend: Child;
+	readonly backendUrl: string;
+	daemon: Child;
+	address: string;
+	readonly settingsFile: string;
+	readonly instance: Readonly<Record<string, unknown>>;
+};
+
+export type EntryNode = {
+	readonly id: string;
+	daemon: Child;
+	url: string;
+	address: string;
+	readonly settingsFile: string;
+	readonly instance: Readonly<Record<string, unknown>>;
+};
+
+/** SHA-256 of a key as the rules and settings hold it. */
+export function keyHash(key: string): string {
+	return createHash('sha256').update(key).digest('hex');
+}
+
+export class TestFleet {
+	/** Starts the platform stand-in. Add engines, services and entries after it. */
+	static async create(options: {readonly platformArgs?: readonly string[]} = {}): Promise<TestFleet> {
+		const platform = await Child.create('platform', 'dist/standins-platform/src/bin.js', ['--port', '0', '--key', PLATFORM_KEY, ...options.platformArgs ?? []]);
+		return new TestFleet(platform);
+	}
+
+	readonly platform: Child;
+	readonly platformUrl: string;
+	readonly endpoints: EndpointNode[] = [];
+	readonly entries: EntryNode[] = [];
+	readonly #folder = mkdtempSync(path.join(tmpdir(), 'mimosamount-'));
+	readonly #others: Child[] = [];
+
+	private constructor(platform: Child) {
+		this.platform = platform;
+		this.platformUrl = `http://${LOOPBACK}:${String(platform.hello.listening)}`;
+	}
+
+	/** All processes of the fleet that still run. */
+	get children(): readonly Child[] {
+		return [
+			...this.entries.map(({daemon}) => daemon),
+			...this.endpoints.flatMap(({daemon, backend}) => [daemon, backend]),
+			...this.#others,
+			this.platform,
+		].filter(child => child.running);
+	}
+
+	/** Writes the rules object as `rules apply` does. */
+	async putRules(version: number, text: string): Promise<void> {
+		const url = `${this.platformUrl}/apis/mimosamount/v1/objects`;
+		const headers = {'content-type': 'application/json', authorization: `Bearer ${PLATFORM_KEY}`};
+		const value = {version, text};
+		const read = await request(`${url}/config%2Frules`, {headers});
+		const old = await read.body.json() as {readonly resourceVersion?: string};
+		const res = read.statusCode === 200
+			? await request(`${url}/config%2Frules`, {method: 'PUT', headers, body: JSON.stringify({resourceVersion: old.resourceVersion, value})})
+			: await request(url, {method: 'POST', headers, body: JSON.stringify({name: 'config/rules', value})});
+		await res.body.dump();
+		if (res.statusCode >= 300) {
+			throw new Error(`rules were not written: ${res.statusCode}`);
+		}
+	}
+
+	/** Switches faults of a stand-in. */
+	async faults(url: string, faults: Readonly<Record<string, unknown>>): Promise<void> {
+		const res = await request(`${url}/faults`, {method: 'POST', headers: {'content-type': 'application/json'}, body: JSON.stringify(faults)});
+		await res.body.dump();
+	}
+
+	/** Reads JSON from a stand-in, for example `/counts`. */
+	async read(url: string): Promise<unknown> {
+		const res = await request(url);
+		return res.body.json();
+	}
+
+	async addEngine(options: EngineOptions = {}): Promise<EndpointNode> {
+		const id = `ep-${this.endpoints.length + 1}`;
+		const models = options.models ?? ['drafting@1'];
+		const names = [...new Set(models.map(model => model.split('@')[0] ?? model))];
+		const backend = await Child.create(`engine of ${id}`, 'dist/standins-engine/src/bin.js', [...names.flatMap(name => ['--model', name]), ...options.args ?? []]);
+		const group = options.group ?? `group-${id}`;
+		const groupSize = options.groupSize ?? 8;
+		const ranks = options.ranks ?? '0-7';
+		const section = `kind = model\ngroup = ${group}\ngroup-size = ${groupSize}\nranks = ${ranks}\nmodels = ${models.join(',')}\n`;
+		return this.#addEndpoint(id, backend, options, section, {
+			kind: 'model', group, ranks: [Number(ranks.split('-')[0])], models,
+		});
+	}
+
+	async addService(options: ServiceOptions): Promise<EndpointNode> {
+		const id = `ep-${this.endpoints.length + 1}`;
+		const backend = await Child.create(`service of ${id}`, 'dist/standins-service/src/bin.js', [...options.args ?? []]);
+		return this.#addEndpoint(id, backend, options, `kind = service\nservice = ${options.service}\n`, {kind: 'service', service: options.service});
+	}
+
+	async addEntry(options: Place & {readonly seeds?: readonly string[]} = {}): Promise<EntryNode> {
+		const id = `entry-${this.entries.length + 1}`;
+		const section = `[entry]\nlisten = ${LOOPBACK}:0\noperator-key-sha256 = ${keyHash(OPERATOR_KEY)}\n`;
+		const settingsFile = this.#writeSettings(id, 'entry', options, section, options.seeds ?? []);
+		const daemon = await Child.create(id, 'dist/daemon/src/bin.js', [settingsFile]);
+		const instance = {
+			id, role: 'entry', kind: 'entry', zone: options.zone ?? 'colombo-a', region: options.region ?? 'lk-west',
+		};
+		const node: EntryNode = {
+			id, daemon, url: '', address: '', settingsFile, instance,
+		};
+		this.entries.push(node);
+		await this.#refreshEntry(node);
+		return node;
+	}
+
+	/** Starts an entry again after its process ended. */
+	async restartEntry(node: EntryNode): Promise<void> {
+		node.daemon = await Child.create(node.id, 'dist/daemon/src/bin.js', [node.settingsFile]);
+		await this.#refreshEntry(node);
+	}
+
+	/** Starts an endpoint process again after it ended; its back end keeps running. */
+	async restartEndpoint(node: EndpointNode): Promise<void> {
+		node.daemon = await Child.create(node.id, 'dist/daemon/src/bin.js', [node.settingsFile]);
+		await this.#refreshEndpoint(node);
+	}
+
+	/** Puts or changes a machine in the platform's list. */
+	async register(id: string, instance: Readonly<Record<string, unknown>>): Promise<void> {
+		const res = await request(`${this.platformUrl}/instances/${id}`, {
+			method: 'PUT', headers: {'content-type': 'application/json', authorization: `Bearer ${PLATFORM_KEY}`}, body: JSON.stringify(instance),
+		});
+		const text = await res.body.text();
+		if (res.statusCode >= 300) {
+			throw new Error(`instance ${id} was not registered: ${res.statusCode} ${text}`);
+		}
+	}
+
+	/** Keeps a process of the caller's for `stop`. */
+	own(child: Child): void {
+		this.#others.push(child);
+	}
+
+	/** Stops the daemons gracefully, then everything else. Returns the exit codes of the daemons. */
+	async stop(): Promise<ReadonlyArray<number | undefined>> {
+		const daemons = [...this.entries.map(({daemon}) => daemon), ...this.endpoints.map(({daemon}) => daemon)];
+		for (const daemon of daemons) {
+			daemon.signal('SIGCONT');
+			daemon.signal('SIGTERM');
+		}
+
+		const codes = await Promise.all(daemons.map(async daemon => daemon.exited));
+		await this.destroy();
+		return codes;
+	}
+
+	/** Kills every process of the fleet. */
+	async destroy(): Promise<void> {
+		await Promise.all(this.children.map(async child => child.kill()));
+		rmSync(this.#folder, {recursive: true, force: true});
+	}
+
+	async #addEndpoint(id: string, backend: Child, place: Place, section: string, instance: Readonly<Record<string, unknown>>): Promise<EndpointNode> {
+		const backendUrl = `http://${LOOPBACK}:${String(backend.hello.listening)}`;
+		const settingsFile = this.#writeSettings(id, 'endpoint', place, `[endpoint]\nbackend-url = ${backendUrl}\n${section}`, []);
+		const daemon = await Child.create(id, 'dist/daemon/src/bin.js', [settingsFile]);
+		const node: EndpointNode = {
+			id,
+			backend,
+			backendUrl,
+			daemon,
+			address: '',
+			settingsFile,
+			instance: {
+				id, role: 'endpoint', zone: place.zone ?? 'colombo-a', region: place.region ?? 'lk-west', ...instance,
+			},
+		};
+		this.endpoints.push(node);
+		await this.#refreshEndpoint(node);
+		return node;
+	}
+
+	async #refreshEndpoint(node: EndpointNode): Promise<void> {
+		node.address = `${LOOPBACK}:${String(node.daemon.hello.peerPort)}`;
+		await this.register(node.id, {...node.instance, address: node.address, state: 'live'});
+	}
+
+	async #refreshEntry(node: EntryNode): Promise<void> {
+		node.address = `${LOOPBACK}:${String(node.daemon.hello.peerPort)}`;
+		node.url = `http://${LOOPBACK}:${String(node.daemon.hello.callerPort)}`;
+		await this.register(node.id, {...node.instance, address: node.address, state: 'live'});
+	}
+
+	#writeSettings(id: string, role: 'entry' | 'endpoint', place: Place, section: string, seeds: readonly string[]): string {
+		const file = path.join(this.#folder, `${id}.ini`);
+		const known = [...seeds, ...this.entries.map(({address}) => address)].slice(0, 3);
+		const seedLine = known.length === 0 ? '' : `seeds = ${known.join(',')}\n`;
+		writeFileSync(file, [
+			'[daemon]',
+			`role = ${role}`,
+			`id = ${id}`,
+			`region = ${place.region ?? 'lk-west'}`,
+			`zone = ${place.zone ?? 'colombo-a'}`,
+			`address = ${LOOPBACK}:0`,
+			'log-level = info',
+			'',
+			'[platform]',
+			`url = ${this.platformUrl}`,
+			`key = ${PLATFORM_KEY}`,
+			'',
+			'[peers]',
+			`shared-key = ${SHARED_KEY}`,
+			seedLine,
+			section,
+		].join('\n'));
+		return file;
+	}
+}
--- a/packages/membership/src/homes.ts
+++ b/packages/membership/src/homes.ts
@@ -1,6 +1,6 @@
 /** Which entries watch the platform, which are neighbours, and which is the home of a key. */
-import {rendezvous} from '#routing';
 import {type Directory} from './directory.js';
+import {rendezvous} from '#routing';
 
 /** Entries a zone that watch the platform; all others learn from their peers. */
 export const WATCHERS_PER_ZONE = 2;
--- a/packages/membership/src/readiness.ts
+++ b/packages/membership/src/readiness.ts
@@ -23,16 +23,16 @@
 		return {kind: 'ready', source: 'platform'};
 	}
 
-	const seeds = [...state.seeds.values()];
+	const seeds = new Set(state.seeds.values());
 	if (state.platform === 'asking') {
 		return {kind: 'waiting', reason: 'the platform has not answered yet'};
 	}
 
-	if (seeds.includes('asking')) {
+	if (seeds.has('asking')) {
 		return {kind: 'waiting', reason: 'the platform cannot be reached and not all seeds have answered'};
 	}
 
-	return seeds.includes('answered')
+	return seeds.has('answered')
 		? {kind: 'ready', source: 'seeds'}
 		: {kind: 'waiting', reason: 'neither the platform nor a seed can be reached'};
 }
--- a/packages/membership/src/versioned-text.ts
+++ b/packages/membership/src/versioned-text.ts
@@ -22,7 +22,7 @@
 	readonly keepStart: number;
 	readonly keepEnd: number;
 	readonly lines: readonly string[];
-	/** xxhash64 of the resulting text. */
+	/** Xxhash64 of the resulting text. */
 	readonly hash: string;
 };
 
--- a/packages/peering/src/platform-watch.ts
+++ b/packages/peering/src/platform-watch.ts
@@ -4,10 +4,12 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {z} from 'zod';
-import {formatMachines, isWatcher, parseMachine, type Machine} from '#membership';
+import {type Peering} from './peering.js';
+import {
+	formatMachines, isWatcher, parseMachine, type Machine,
+} from '#membership';
 import {type PlatformClient} from '#platform';
 import {type Logger} from '#telemetry';
-import {type Peering} from './peering.js';
 
 /** Object that holds the rules. */
 export const RULES_OBJECT = 'config/rules';
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -25,6 +25,12 @@
 /** Load of a replica as it travels in reports and answers. */
 const loadSchema = z.tuple([count, count, z.number().nonnegative(), z.number().nonnegative(), count, z.boolean()]).readonly();
 
+/** Demand for a workspace: name, sequence, tokens/s asked for, tokens/s held, sequence that the held grant answered. */
+const demandSchema = z.tuple([name, count, z.number().nonnegative(), z.number().nonnegative(), count]).readonly();
+
+/** Grant for a workspace: name, sequence of the demand that it answers, tokens/s. */
+const grantSchema = z.tuple([name, count, z.number().nonnegative()]).readonly();
+
 /** How a request may share an endpoint with others. */
 export const soloModes = ['shared', 'no-other-suspect', 'alone'] as const;
 
@@ -82,8 +88,8 @@
 		hash: z.string().max(16),
 	}),
 	announce: z.object({machine: z.unknown(), incarnation: z.string().max(64)}),
-	demand: z.object({items: z.array(z.tuple([name, z.number().nonnegative(), z.number().nonnegative()])).max(4096)}),
-	grant: z.object({items: z.array(z.tuple([name, z.number().nonnegative(), z.number().nonnegative()])).max(4096)}),
+	demand: z.object({items: z.array(demandSchema).max(4096).readonly()}),
+	grant: z.object({items: z.array(grantSchema).max(4096).readonly()}),
 	ask: z.object({id: count, topic: name, payload: z.unknown()}),
 	answer: z.object({id: count, payload: z.unknown()}),
 	map: z.object({group: name, payload: z.unknown()}),
--- a/packages/standins-engine/__tests__/unit/state.test.ts
+++ b/packages/standins-engine/__tests__/unit/state.test.ts
@@ -32,24 +32,24 @@
 	t.end();
 });
 
-await t.test('the batch stays within its size, takes lower priority numbers first and spends its prefill budget', t => {
+await t.test('the batch stays within its size, takes higher priority numbers first and spends its prefill budget', t => {
 	const started: string[] = [];
 	const batch = Batch.create({
 		maxRunning: 2, prefillTokensPerStep: 15, onStart(run) {
 			started.push(run.answer.requestId);
 		},
 	});
-	for (const [id, priority] of [['late', 9], ['a', 5], ['b', 5], ['urgent', 1]] as const) {
+	for (const [id, priority] of [['late', 1], ['a', 5], ['b', 5], ['urgent', 9]] as const) {
 		batch.add(createRun(id, priority));
 	}
 
 	batch.admit();
 	t.same(started, ['urgent', 'a']);
-	t.equal(batch.step().length, 1, '10 prompt tokens each: the budget of 15 finishes one prompt');
-	t.equal(batch.step().length, 2);
+	t.equal(batch.step().made.length, 1, '10 prompt tokens each: the budget of 15 finishes one prompt');
+	t.equal(batch.step().made.length, 2);
 	batch.admit();
 	t.same(started, ['urgent', 'a', 'b'], 'the finished run made room for one');
-	t.equal(batch.queuedTokens, 12);
+	t.equal(batch.queuedTokens, 22, '12 of the queued run, 10 prompt tokens of the one that just joined');
 	t.end();
 });
 
--- a/packages/standins-engine/src/bin.ts
+++ b/packages/standins-engine/src/bin.ts
@@ -1,6 +1,10 @@
-/** Starts a stand-in engine process; prints `{"listening": PORT}` when it takes requests. */
+/**
+ * Starts a stand-in engine process; prints `{"listening": PORT, "ports": [PORT...]}` when it
+ * takes requests. Several `--rank-id` start a group of engines that advance in lock-step.
+ */
 import process from 'node:process';
 import {parseArgs} from 'node:util';
+import {EngineGroup} from './engine-group.js';
 import {DEFAULT_ENGINE_OPTIONS} from './engine-options.js';
 import {EngineServer} from './engine-server.js';
 import {InputError} from '#core';
@@ -17,10 +21,12 @@
 		'cache-blocks': {type: 'string'},
 		'hold-ms': {type: 'string'},
 		seed: {type: 'string'},
+		'rank-id': {type: 'string', multiple: true},
+		'map-load-ms': {type: 'string'},
 	},
 });
 
-function readNumber(name: 'port' | 'step-ms' | 'max-running' | 'max-queued' | 'prefill-tokens' | 'cache-blocks' | 'hold-ms' | 'seed', fallback: number): number {
+function readNumber(name: 'port' | 'step-ms' | 'max-running' | 'max-queued' | 'prefill-tokens' | 'cache-blocks' | 'hold-ms' | 'seed' | 'map-load-ms', fallback: number): number {
 	const text = values[name];
 	const value = text === undefined ? fallback : Number(text);
 	if (!Number.isFinite(value) || value < 0) {
@@ -30,9 +36,9 @@
 	return value;
 }
 
-const server = await EngineServer.create({
+const rankIds = values['rank-id'] ?? [DEFAULT_ENGINE_OPTIONS.rankId];
+const options = {
 	host: values.host,
-	port: readNumber('port', 0),
 	models: values.model ?? DEFAULT_ENGINE_OPTIONS.models,
 	stepMs: readNumber('step-ms', DEFAULT_ENGINE_OPTIONS.stepMs),
 	maxRunning: readNumber('max-running', DEFAULT_ENGINE_OPTIONS.maxRunning),
@@ -41,10 +47,25 @@
 	cacheBlocks: readNumber('cache-blocks', DEFAULT_ENGINE_OPTIONS.cacheBlocks),
 	holdMs: readNumber('hold-ms', DEFAULT_ENGINE_OPTIONS.holdMs),
 	seed: readNumber('seed', DEFAULT_ENGINE_OPTIONS.seed),
-});
-console.log(JSON.stringify({listening: server.port}));
+	mapLoadMs: readNumber('map-load-ms', DEFAULT_ENGINE_OPTIONS.mapLoadMs),
+};
+const {servers, close} = await start();
+const ports = servers.map(server => server.port);
+console.log(JSON.stringify({listening: ports[0], ports}));
 for (const signal of ['SIGTERM', 'SIGINT'] as const) {
 	process.once(signal, () => {
-		void server.close();
+		void close();
 	});
 }
+
+type Started = {readonly servers: readonly EngineServer[]; readonly close: () => Promise<void>};
+
+async function start(): Promise<Started> {
+	if (rankIds.length > 1) {
+		const group = await EngineGroup.create({...options, members: rankIds});
+		return {servers: group.servers, close: async () => group.close()};
+	}
+
+	const server = await EngineServer.create({...options, port: readNumber('port', 0), rankId: rankIds[0] ?? DEFAULT_ENGINE_OPTIONS.rankId});
+	return {servers: [server], close: async () => server.close()};
+}
--- a/packages/standins-engine/src/engine-server.ts
+++ b/packages/standins-engine/src/engine-server.ts
@@ -12,16 +12,18 @@
 	Engine, type ResumeFailure, type SubmitFailure,
 } from './engine.js';
 import {parseFaultChange, type FaultChange} from './faults.js';
+import type {GroupDriver} from './group-driver.js';
 import {parseInferenceRequest, type CompletionKind} from './inference-request.js';
 import type {EngineCounts, RequestCount} from './oracle.js';
+import {parseOrder} from './order-schema.js';
 import type {Run, RunReader} from './run.js';
 import {InputError} from '#core';
 
 /** Largest request body in bytes. */
 const BODY_LIMIT = 8 * 1024 * 1024;
 
-/** Priority of a request without `x-priority`; lower numbers run first. */
-const DEFAULT_PRIORITY = 100;
+/** Priority of a request without `x-priority`, in the range 0 to 9 of the rules; higher numbers run first. */
+const DEFAULT_PRIORITY = 5;
 
 /** Options of an engine server; each has a default. */
 export type EngineServerOptions = Partial<EngineOptions> & {
@@ -29,6 +31,8 @@
 	readonly host?: string;
 	/** Port to listen on; 0, the default, picks a free one. */
 	readonly port?: number;
+	/** Steps of the group that the engine belongs to; without it the engine stands alone. */
+	readonly driver?: GroupDriver;
 };
 
 const resumeSchema = z.object({offset: z.int().nonnegative()});
@@ -37,8 +41,8 @@
 export class EngineServer {
 	/** Starts an engine that listens. */
 	static async create(options: EngineServerOptions = {}): Promise<EngineServer> {
-		const {host = '127.0.0.1', port = 0, ...rest} = options;
-		const server = new EngineServer({...DEFAULT_ENGINE_OPTIONS, ...rest});
+		const {host = '127.0.0.1', port = 0, driver, ...rest} = options;
+		const server = new EngineServer({...DEFAULT_ENGINE_OPTIONS, ...rest}, driver);
 		await server.#app.listen({host, port});
 		return server;
 	}
@@ -47,13 +51,14 @@
 	readonly #app: FastifyInstance = fastify({bodyLimit: BODY_LIMIT, forceCloseConnections: true});
 	readonly #sockets = new Set<Socket>();
 
-	private constructor(options: EngineOptions) {
+	private constructor(options: EngineOptions, driver: GroupDriver | undefined) {
 		this.engine = Engine.create(options, () => {
 			this.#dropConnections();
-		});
+		}, driver);
 		this.#trackConnections();
 		this.#addWorkRoutes();
 		this.#addStateRoutes();
+		this.#addOrderRoutes();
 		this.#addControlRoutes();
 		this.#app.setErrorHandler((error, _req, reply) => {
 			const status = error instanceof InputError ? 400 : (error as {readonly statusCode?: number}).statusCode ?? 500;
@@ -200,6 +205,19 @@
 		});
 	}
 
+	#addOrderRoutes(): void {
+		this.#app.get('/v1/orders/state', async (_req, reply) => this.engine.orderState() ?? reply.code(503).send());
+		this.#app.post('/v1/orders', async (req, reply) => {
+			const answer = this.engine.order(parseOrder(req.body, this.engine.orderState()?.epoch ?? 0));
+			if (answer === undefined) {
+				return reply.code(503).send();
+			}
+
+			const {kind, ...body} = answer;
+			return reply.code(kind === 'done' ? 200 : 409).send(body);
+		});
+	}
+
 	#addControlRoutes(): void {
 		this.#app.get('/faults', async () => this.engine.faults);
 		this.#app.post('/faults', async req => {
--- a/packages/standins-engine/src/run.ts
+++ b/packages/standins-engine/src/run.ts
@@ -41,7 +41,7 @@
 	private constructor(
 		readonly request: InferenceRequest,
 		readonly answer: Answer,
-		/** A lower number runs first. */
+		/** A higher number runs first. */
 		readonly priority: number,
 		/** Order of arrival. */
 		readonly sequence: number,
--- a/packages/telemetry/src/logger.ts
+++ b/packages/telemetry/src/logger.ts
@@ -15,7 +15,7 @@
 };
 
 /** Levels in order of severity. */
-export const logLevels = ['debug', 'info', 'warn', 'error', 'fatal'] as const;
+export const logLevels = ['trace', 'debug', 'info', 'warn', 'error', 'fatal'] as const;
 export type LogLevel = (typeof logLevels)[number];
 
 function wrap(base: bunyan, prefix: string): Logger {
