--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -2,6 +2,7 @@
 export {
 	BaseError, InputError, InvariantError, UnavailableError,
 } from './errors.js';
+export {createDeferred, type Deferred} from './deferred.js';
 export {invariant, unreachable} from './invariant.js';
 export {formatFinding, type Finding} from './finding.js';
 export {failed, ok, type Result} from './result.js';
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -79,7 +79,7 @@
 	let stopping = false;
 	const onSignal = () => {
 		if (stopping) {
-			process.exit(1);
+			process.kill(process.pid, 'SIGKILL');
 		}
 
 		stopping = true;
--- a/packages/demo/src/index.ts
+++ /dev/null
@@ -1,2 +0,0 @@
-/** The demo is a program, `run-demo.ts`; it has no public interface. */
-
--- a/packages/demo/src/run-demo.ts
+++ b/packages/demo/src/run-demo.ts
@@ -8,7 +8,7 @@
 	keyHash, TestFleet, waitUntil, type EntryNode,
 } from '#harness';
 
-const KEY = 'demo key of the clerks';
+const KEY = 'demo-key-of-the-clerks';
 
 const RULES = `# Rules of the demo
 model drafting versions=1 # asked by Nadeesha: the drafting model
@@ -59,7 +59,7 @@
 	say(`the same booking again through ${second.id}: ${again.status} ${again.text}`);
 	const ledger = fleet.endpoints.find(({instance}) => instance.kind === 'service');
 	say(`runs counted by the ledger: ${JSON.stringify(await fleet.read(`${ledger?.backendUrl ?? ''}/counts`))}`);
-	const wrong = await request(`${first.url}/v1/models`, {headers: {authorization: 'Bearer no such key'}});
+	const wrong = await request(`${first.url}/v1/models`, {headers: {authorization: 'Bearer no-such-key'}});
 	say(`a wrong key: ${wrong.statusCode} ${await wrong.body.text()}`);
 }
 
--- a/packages/endpoint/src/endpoint.ts
+++ b/packages/endpoint/src/endpoint.ts
@@ -7,7 +7,7 @@
 import {CrashWindow} from './crash-window.js';
 import {LoadMonitor} from './load-monitor.js';
 import {WorkRun, type RunEnd, type RunSource} from './work-run.js';
-import {mergeTeardowns, type Teardown, unreachable} from '#core';
+import {mergeTeardowns, type Teardown} from '#core';
 import {EngineClient} from '#engine';
 import {type Peering} from '#peering';
 import {type MessageOf, type PeerLink, type WireLoad} from '#protocol';
@@ -287,10 +287,6 @@
 				await this.#tellLost(key, run);
 				return;
 			}
-
-			default: {
-				unreachable(end);
-			}
 		}
 	}
 
--- a/packages/entry/src/answer.ts
+++ b/packages/entry/src/answer.ts
@@ -15,7 +15,7 @@
 };
 
 /** A finished whole answer, kept for callers that send the same key again. */
-export type WholeAnswer = AnswerHead & {readonly body: Buffer};
+export type WholeAnswer = AnswerHead & {readonly body: Uint8Array};
 
 export class Answer {
 	/** @param onDelivered - Told the offset up to which bytes have left for the caller. */
--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -2,6 +2,7 @@
  * One attempt of a request at one endpoint. Frames are tied to request and attempt; a
  * frame that is late, crossed or out of place is dropped and counted.
  */
+import {createDeferred} from '#core';
 import {type Outcome} from './refusal.js';
 import {
 	Checksum, type MessageOf, type PeerLink, type WireLoad,
@@ -51,8 +52,7 @@
 
 	readonly #options: AttemptOptions;
 	readonly #checksum = Checksum.create();
-	readonly #end: Promise<AttemptEnd>;
-	#settle: (end: AttemptEnd) => void = () => undefined;
+	readonly #end = createDeferred<AttemptEnd>();
 	#settled = false;
 	#accepted = false;
 	#headSeen = false;
@@ -64,9 +64,6 @@
 		this.#options = options;
 		this.#offset = options.work.resumeOffset;
 		this.#acknowledged = options.work.resumeOffset;
-		this.#end = new Promise(resolve => {
-			this.#settle = resolve;
-		});
 	}
 
 	get requestId(): string {
@@ -100,7 +97,7 @@
 
 	/** Resolves once the attempt has ended. */
 	async ended(): Promise<AttemptEnd> {
-		return this.#end;
+		return this.#end.promise;
 	}
 
 	/** Gives the attempt up and tells the endpoint. */
@@ -215,6 +212,6 @@
 		this.#settled = true;
 		clearTimeout(this.#timer);
 		this.#options.link.closed.removeEventListener('abort', this.#onClosed);
-		this.#settle(end);
+		this.#end.resolve(end);
 	}
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,7 +1,6 @@
 /** The entry role: callers connect here. Wires HTTP to the decisions and to the endpoints. */
 import {randomUUID} from 'node:crypto';
 import {type AddressInfo} from 'node:net';
-import {type Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import fastify, {type FastifyInstance, type FastifyReply, type FastifyRequest} from 'fastify';
 import {AdminRoutes} from './admin.js';
@@ -226,7 +225,7 @@
 	async #infer(call: Call, path: string): Promise<RequestEnd> {
 		const {req, res, requestId, workspace, deadline, signal} = call;
 		this.#options.metrics.count('requests', 'model');
-		const body = req.body as Buffer | undefined;
+		const body = req.body as Uint8Array | undefined;
 		const reject = (refusal: Refusal): RequestEnd => {
 			Answer.create(res.raw, requestId, () => undefined).refuse(refusal);
 			return refusal;
@@ -283,7 +282,7 @@
 			method: req.method,
 			path,
 			headers: passedOnHeaders(req.headers),
-			body: (req.body as Buffer | undefined) ?? new Uint8Array(),
+			body: (req.body as Uint8Array | undefined) ?? new Uint8Array(),
 			deadline,
 			once: isNonIdempotent(rule, req.method, path),
 			answer,
--- a/packages/entry/src/inference.ts
+++ b/packages/entry/src/inference.ts
@@ -1,5 +1,5 @@
 /** What the entry reads of an inference request's body: model, stream flag, prompt size and prefixes. */
-import {type Buffer} from 'node:buffer';
+import {Buffer} from 'node:buffer';
 import {z} from 'zod';
 import {failed, ok, type Result} from '#core';
 import {hashHex, type PromptPrefix} from '#routing';
@@ -51,10 +51,10 @@
  *
  * @returns The request, or a message that says what is wrong with the body.
  */
-export function readInference(raw: Buffer): Result<Inference, string> {
+export function readInference(raw: Uint8Array): Result<Inference, string> {
 	let json: unknown;
 	try {
-		json = JSON.parse(raw.toString('utf8'));
+		json = JSON.parse(Buffer.from(raw.buffer, raw.byteOffset, raw.length).toString('utf8'));
 	} catch {
 		return failed('the body is not JSON');
 	}
--- a/packages/harness/src/child.ts
+++ b/packages/harness/src/child.ts
@@ -1,9 +1,8 @@
 /** A child process of a test, the demo or a benchmark. Development only; daemons start no process. */
-import {spawn, type ChildProcessByStdio} from 'node:child_process';
+import {spawn} from 'node:child_process';
 import {once} from 'node:events';
 import process from 'node:process';
 import {createInterface} from 'node:readline';
-import {type Readable} from 'node:stream';
 
 /** Lines of output kept for error messages. */
 const KEPT_LINES = 400;
@@ -11,6 +10,12 @@
 /** A process that has not printed its first JSON line after this time has failed to start. */
 const START_LIMIT_MS = 30_000;
 
+function spawnPiped(module: string, args: readonly string[]) {
+	return spawn(process.execPath, ['--enable-source-maps', module, ...args], {stdio: ['ignore', 'pipe', 'pipe']});
+}
+
+type PipedProcess = ReturnType<typeof spawnPiped>;
+
 export class Child {
 	/**
 	 * Starts a compiled module of `dist/` and waits for its first JSON line with one of the given keys.
@@ -18,19 +23,19 @@
 	 * @throws Error with the last output when the process ends or stays silent.
 	 */
 	static async create(name: string, module: string, args: readonly string[]): Promise<Child> {
-		const child = new Child(name, spawn(process.execPath, ['--enable-source-maps', module, ...args], {stdio: ['ignore', 'pipe', 'pipe']}));
+		const child = new Child(name, spawnPiped(module, args));
 		await child.#started;
 		return child;
 	}
 
 	readonly name: string;
 	readonly exited: Promise<number | undefined>;
-	readonly #process: ChildProcessByStdio<undefined, Readable, Readable>;
+	readonly #process: PipedProcess;
 	readonly #lines: string[] = [];
 	readonly #started: Promise<void>;
 	#hello: Readonly<Record<string, unknown>> = {};
 
-	private constructor(name: string, childProcess: ChildProcessByStdio<undefined, Readable, Readable>) {
+	private constructor(name: string, childProcess: PipedProcess) {
 		this.name = name;
 		this.#process = childProcess;
 		this.exited = this.#exit();
--- a/packages/protocol/src/checksum.ts
+++ b/packages/protocol/src/checksum.ts
@@ -14,7 +14,7 @@
 	#bytes = 0;
 
 	private constructor() {
-		this.#bytes = 0;
+		// Created by `create` only.
 	}
 
 	/** Number of bytes added. */
--- a/xo.config.js
+++ b/xo.config.js
@@ -23,6 +23,10 @@
 			'@typescript-eslint/prefer-promise-reject-errors': 'off',
 			// Payload types are erased in registries of commands and messages; the cast back stands next to the check.
 			'@typescript-eslint/no-unsafe-type-assertion': 'off',
+			// Attempts, messages and control loops are sequential on purpose.
+			'no-await-in-loop': 'off',
+			// The condition is a property that another task changes.
+			'no-unmodified-loop-condition': 'off',
 			// The compile target has no v flag.
 			'require-unicode-regexp': 'off',
 		},
