Read, check and print the settings of mimosamountd

Cause: a process must refuse broken settings with every mistake and its place, and keys must never reach a log. Change: readSettings with a scan of places beside the ini library, findings for unknown, repeated, missing and bad keys, key files through resolveKeys, and formatSettings, which hides keys. Hints also match words by their beginning. Ruled out: the values of the ini library alone, since it drops mistakes in silence: it cuts a key at '#', turns a quoted number into another text and takes '[entry] ; comment' for a key. Each of these is a finding. Checked: with the least key length set to 0 by hand, the cases of short keys failed; it is restored.

--- a/packages/rules/__tests__/unit/broken-rules.ts
+++ b/packages/rules/__tests__/unit/broken-rules.ts
@@ -61,7 +61,7 @@
 	broken(
 		'short and repeated key',
 		`workspace w key-sha256=abc,${hash('a')},${hash('a')} ${BY}`,
-		['1:24 key-sha256 "abc"', '64 hex digits'],
+		['1:24 key-sha256 "(hidden, 3 characters)"', '64 hex digits'],
 		[`1:93 key-sha256 "${hash('a')}"`, 'each item once'],
 	),
 	broken('key of two workspaces', `workspace v key-sha256=${hash('a')} ${BY}\nworkspace w key-sha256=${hash('A')} ${BY}`, [`2:13 key-sha256 "${hash('a')}"`, 'v on line 1 has the same']),
@@ -69,7 +69,7 @@
 		'workspace twice, once broken',
 		`workspace w key-sha256=${hash('a')} ${BY}\nworkspace w key-sha256=x ${BY}`,
 		['2:11 "workspace w"', 'the first is line 1'],
-		['2:24 key-sha256 "x"', '64 hex digits'],
+		['2:24 key-sha256 "(hidden, 1 characters)"', '64 hex digits'],
 	),
 	broken(
 		'unknown, misspelt and repeated options',
--- a/packages/rules/src/index.ts
+++ b/packages/rules/src/index.ts
@@ -48,3 +48,4 @@
 } from './diff.js';
 export {appendRule, removeLines} from './edit.js';
 export {describeWords, nearestWord} from './nearest-word.js';
+export {isName, nameAllowed} from './values.js';
--- a/packages/rules/src/nearest-word.ts
+++ b/packages/rules/src/nearest-word.ts
@@ -1,18 +1,34 @@
+// Shorter beginnings than this would match by chance.
+const MIN_PREFIX_CHARS = 3;
+
 /**
  * The allowed word that a mistyped one most likely stands for.
  *
- * @returns Undefined when none differs by at most a third of its letters.
+ * @returns Undefined when none starts like it or differs by at most a third of its letters.
  */
 export function nearestWord(word: string, allowed: readonly string[]): string | undefined {
 	const lower = word.toLowerCase();
 	const ranked = allowed
-		.filter(candidate => Math.abs(candidate.length - word.length) <= maxDistance(candidate))
-		.map(candidate => ({candidate, distance: editDistance(lower, candidate.toLowerCase())}))
-		.filter(({candidate, distance}) => distance <= maxDistance(candidate))
-		.toSorted((a, b) => a.distance - b.distance);
+		.map(candidate => ({candidate, distance: wordDistance(lower, candidate.toLowerCase())}))
+		.filter(({distance}) => distance !== undefined)
+		.toSorted((a, b) => (a.distance ?? 0) - (b.distance ?? 0));
 	return ranked[0]?.candidate;
 }
 
+/** Distance of two words that are alike, else undefined. */
+function wordDistance(word: string, candidate: string): number | undefined {
+	const lengths = Math.abs(candidate.length - word.length);
+	const isPrefix = Math.min(word.length, candidate.length) >= MIN_PREFIX_CHARS
+		&& (word.startsWith(candidate) || candidate.startsWith(word));
+	if (isPrefix) {
+		return lengths;
+	}
+
+	// Most pairs differ too much in length, which spares the comparison of letters.
+	const distance = lengths > maxDistance(candidate) ? Number.POSITIVE_INFINITY : editDistance(word, candidate);
+	return distance <= maxDistance(candidate) ? distance : undefined;
+}
+
 /** Lists the allowed words, with the most likely one when there is one. */
 export function describeWords(word: string, allowed: readonly string[]): string {
 	const list = allowed.length === 1 ? `${allowed[0]}` : `one of ${allowed.join(', ')}`;
@@ -26,14 +42,13 @@
 
 /** Optimal string alignment distance: insertions, deletions, substitutions and swaps of neighbours. */
 function editDistance(a: string, b: string): number {
-	const rows: number[][] = [Array.from({length: b.length + 1}, (_, j) => j)];
+	const rows = [Array.from({length: b.length + 1}, (_, j) => j)];
 	for (let i = 1; i <= a.length; i += 1) {
 		const row = [i];
+		rows.push(row);
 		for (let j = 1; j <= b.length; j += 1) {
-			row.push(cellDistance(a, b, [i, j], [...rows, row]));
+			row.push(cellDistance(a, b, [i, j], rows));
 		}
-
-		rows.push(row);
 	}
 
 	return rows.at(-1)?.at(-1) ?? 0;
--- a/packages/rules/src/values.ts
+++ b/packages/rules/src/values.ts
@@ -4,7 +4,8 @@
 import {failed, ok, type Result} from '#core';
 
 const NAME = /^[A-Za-z\d][\w.-]{0,62}$/u;
-const NAME_ALLOWED = 'a name of 1 to 63 letters, digits, ".", "_" or "-" that starts with a letter or digit';
+/** What `isName` accepts, in words. */
+export const nameAllowed = 'a name of 1 to 63 letters, digits, ".", "_" or "-" that starts with a letter or digit';
 const HASH = /^[\da-f]{64}$/iu;
 const MAX_LIST = 64;
 const MAX_PATH_CHARS = 256;
@@ -19,10 +20,16 @@
 	return failed([{offset, read: excerpt(read), allowed}]);
 }
 
-export const readName: ValueReader<string> = text => NAME.test(text) ? ok(text) : refuse(text, NAME_ALLOWED);
+/** True for a name of an endpoint, zone, group, workspace, model or service. */
+export function isName(text: string): boolean {
+	return NAME.test(text);
+}
+
+export const readName: ValueReader<string> = text => isName(text) ? ok(text) : refuse(text, nameAllowed);
 
 export const readHash: ValueReader<string> = text =>
-	HASH.test(text) ? ok(text.toLowerCase()) : refuse(text, '64 hex digits, the SHA-256 of the key');
+	// The value is hidden, since an operator may have put the key itself here.
+	HASH.test(text) ? ok(text.toLowerCase()) : refuse(`(hidden, ${text.length} characters)`, '64 hex digits, the SHA-256 of the key');
 
 /** One of a fixed list of words. */
 export function readOneOf<Word extends string>(words: readonly Word[]): ValueReader<Word> {
--- /dev/null
+++ b/packages/settings/__tests__/unit/settings.fuzz.test.ts
@@ -0,0 +1,19 @@
+/** Runs with FUZZ_SEED and FUZZ_RUNS of the environment, else with a fixed seed. */
+import process from 'node:process';
+import fc from 'fast-check';
+import t from 'tap';
+import {endpointLines, entryLines} from './broken-settings.js';
+import {readSettings} from '#settings';
+
+const params = {seed: Number(process.env.FUZZ_SEED ?? 20_261_204), numRuns: Number(process.env.FUZZ_RUNS ?? 300)};
+const line = fc.oneof(fc.constantFrom(...entryLines, ...endpointLines), fc.string({unit: 'binary', maxLength: 30}));
+
+// Guards against a file that stops the daemon with an exception, and against findings outside the file.
+await t.test('the reader gives a result on arbitrary lines', t => {
+	fc.assert(fc.property(fc.array(line, {maxLength: 40}), lines => {
+		const result = readSettings(lines.join('\n'), 'a.ini');
+		const count = lines.join('\n').split('\n').length;
+		return result.kind === 'ok' || (result.failure.length > 0 && result.failure.every(finding => finding.line <= count));
+	}), params);
+	t.end();
+});
--- /dev/null
+++ b/packages/settings/__tests__/unit/settings.test.ts
@@ -0,0 +1,98 @@
+import {inspect} from 'node:util';
+import t from 'tap';
+import {brokenSettings, endpointLines, entryLines} from './broken-settings.js';
+import {type Finding} from '#core';
+import {
+	formatSettings, readSettings, resolveKeys, type Settings,
+} from '#settings';
+
+const place = (finding: Finding) =>
+	`${finding.line}:${finding.column} ${finding.key === undefined ? '' : `${finding.key} `}${JSON.stringify(finding.read)}`;
+
+function read(lines: readonly string[]): Settings {
+	const result = readSettings(lines.join('\r\n'), 'a.ini');
+	if (result.kind === 'failed') {
+		throw new Error(JSON.stringify(result.failure));
+	}
+
+	return result.value;
+}
+
+// Guards against a broken file that is accepted, findings that are lost or misplaced, and keys in findings.
+await t.test('broken files are refused with all findings', t => {
+	for (const {name, text, findings} of brokenSettings) {
+		const result = readSettings(text, 'a.ini');
+		const found = result.kind === 'failed' ? result.failure : [];
+		t.same(found.map(finding => place(finding)), findings.map(([expected]) => expected), name);
+		for (const [i, [, allowed]] of findings.entries()) {
+			t.match(found[i]?.allowed, allowed, name);
+		}
+
+		t.notMatch(JSON.stringify(found), /hunter2|0123456789/u, name);
+	}
+
+	t.end();
+});
+
+await t.test('an entry', t => {
+	const settings = read(entryLines);
+	t.match(settings, {
+		role: 'entry',
+		id: 'entry-1',
+		address: {host: '10.0.0.5', port: 7400},
+		logLevel: 'info',
+		listen: {host: '0.0.0.0', port: 8080},
+		maxBodyBytes: 4_194_304,
+		subsetSize: 100,
+		platform: {url: 'http://10.0.0.2:7000'},
+		peers: {sharedKey: {kind: 'file', path: '/etc/mimosamount/peers.key'}, seeds: [{host: '10.0.0.6', port: 7400}, {host: 'fd00::7', port: 7400}]},
+	});
+	t.end();
+});
+
+await t.test('endpoints of a model and of a service', t => {
+	t.match(read(endpointLines), {
+		role: 'endpoint',
+		backendUrl: 'http://127.0.0.1:9000',
+		backend: {
+			kind: 'model', group: 'drafting-1', groupSize: 64, ranks: {first: 8, last: 15}, models: ['drafting', 'mimosa-serve'],
+		},
+	});
+	const service = [...endpointLines.slice(0, 7), 'kind = service', 'service = ledger ; the booking service', endpointLines[8] ?? '', ...endpointLines.slice(13)];
+	t.match(read(service), {backend: {kind: 'service', service: 'ledger'}});
+	t.end();
+});
+
+// Guards against keys in logs, errors and printed settings.
+await t.test('no printed form shows a key', t => {
+	const settings = read(entryLines.map(line => line.startsWith('key =') ? 'key = "0123456789abcdef;#"' : line));
+	const printed = formatSettings(settings);
+	for (const text of [printed, JSON.stringify(settings), inspect(settings, {depth: 9}), `${settings.platform.key.kind === 'inline' ? settings.platform.key.key.toString() : ''}`]) {
+		t.notMatch(text, /0123456789/u);
+	}
+
+	t.match(printed, 'key = (hidden)');
+	t.equal(readSettings(printed, 'a.ini').kind, 'failed', 'a hidden key cannot be taken for a key');
+	t.end();
+});
+
+await t.test('printed settings without inline keys read back as the same', t => {
+	const lines = [...entryLines, ...endpointLines].map(line => line.replace(/^key = .*/u, 'key-file = /etc/k'));
+	for (const settings of [read(lines.slice(0, entryLines.length)), read(lines.slice(entryLines.length))]) {
+		t.same(read(formatSettings(settings).split('\n')), settings);
+	}
+
+	t.end();
+});
+
+await t.test('key files are read and checked', t => {
+	const settings = read(entryLines);
+	const good = resolveKeys(settings, () => 'fedcba9876543210\n');
+	t.equal(good.kind === 'ok' && good.value.sharedKey.reveal(), 'fedcba9876543210');
+	t.equal(good.kind === 'ok' && good.value.platformKey.reveal(), '0123456789abcdef');
+	t.match(resolveKeys(settings, () => 'hunter2\n'), {failure: [{key: 'peers.shared-key-file', read: '(hidden, 7 bytes)'}]});
+	t.match(resolveKeys(settings, () => {
+		throw new Error('ENOENT');
+	}), {failure: [{file: '/etc/mimosamount/peers.key', read: 'ENOENT'}]});
+	t.end();
+});
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -12,3 +12,7 @@
 	type Settings,
 } from './model.js';
 export {Secret} from './secret.js';
+export {maxSettingsBytes, readSettings} from './read.js';
+export {formatAddress, formatSettings} from './format.js';
+export {resolveKey, resolveKeys, type Keys} from './resolve-keys.js';
+export {minKeyBytes} from './values.js';
--- /dev/null
+++ b/packages/settings/src/values.ts
@@ -0,0 +1,117 @@
+/** Readers for the values of settings. A failure says what is allowed. */
+import {isIP} from 'node:net';
+import {Buffer} from 'node:buffer';
+import type {Address, KeySource} from './model.js';
+import {Secret} from './secret.js';
+import {failed, ok, type Result} from '#core';
+import {describeWords, isName, nameAllowed} from '#rules';
+
+/** What was wrong with a value. */
+export type ValueProblem = {
+	/** Stands for the value in the finding where the value must not be shown. */
+	readonly read?: string;
+	readonly allowed: string;
+};
+
+export type ValueReader<Value> = (text: string) => Result<Value, ValueProblem>;
+
+/** Shortest key in bytes: 128 bits, the least that withstands guessing. */
+export const minKeyBytes = 16;
+
+const MAX_PORT = 65_535;
+const MAX_PATH_CHARS = 4096;
+
+export const readName: ValueReader<string> = text => isName(text) ? ok(text) : failed({allowed: nameAllowed});
+
+export const readHash: ValueReader<string> = text =>
+	// The value is hidden, since an operator may have put the key itself here.
+	/^[\da-f]{64}$/iu.test(text)
+		? ok(text.toLowerCase())
+		: failed({read: `(hidden, ${text.length} characters)`, allowed: '64 hex digits, the SHA-256 of the key'});
+
+export function readOneOf<Word extends string>(words: readonly Word[]): ValueReader<Word> {
+	return text => {
+		const word = words.find(candidate => candidate === text);
+		return word === undefined ? failed({allowed: describeWords(text, words)}) : ok(word);
+	};
+}
+
+/** A whole number between `min` and `max`, both included. */
+export function readInteger(min: number, max: number): ValueReader<number> {
+	return text => {
+		const value = /^\d{1,15}$/u.test(text) ? Number(text) : Number.NaN;
+		return value >= min && value <= max ? ok(value) : failed({allowed: `a whole number from ${min} to ${max}`});
+	};
+}
+
+/** A list between commas with optional spaces, without repeated items. */
+export function readList<Item>(readItem: ValueReader<Item>): ValueReader<readonly Item[]> {
+	return text => {
+		const items: Item[] = [];
+		const seen = new Set<string>();
+		for (const part of text.split(',').map(item => item.trim())) {
+			const item = readItem(part);
+			const identity = JSON.stringify(item);
+			if (item.kind === 'failed') {
+				return failed({read: part, allowed: `a list between commas, each item ${item.failure.allowed}`});
+			}
+
+			if (seen.has(identity)) {
+				return failed({read: part, allowed: 'a list between commas with each item once'});
+			}
+
+			seen.add(identity);
+			items.push(item.value);
+		}
+
+		return ok(items);
+	};
+}
+
+/** An IP number and a port of at least `minPort`. */
+export function readAddress(minPort: 0 | 1): ValueReader<Address> {
+	return text => {
+		const match = /^(?:\[(?<v6>[^\]]+)\]|(?<v4>[^:[\]]+)):(?<port>\d{1,5})$/u.exec(text);
+		const host = match?.groups?.v6 ?? match?.groups?.v4 ?? '';
+		const version = match?.groups?.v6 === undefined ? 4 : 6;
+		const port = Number(match?.groups?.port);
+		return isIP(host) === version && port >= minPort && port <= MAX_PORT
+			? ok({host, port})
+			: failed({allowed: `an IP number and a port from ${minPort} to ${MAX_PORT}, such as 10.0.0.5:7400 or [fd00::5]:7400`});
+	};
+}
+
+/** An address at which others connect, so not the one that stands for all interfaces. */
+export const readPeerAddress: ValueReader<Address> = text => {
+	const address = readAddress(0)(text);
+	return address.kind === 'ok' && ['0.0.0.0', '::'].includes(address.value.host)
+		? failed({allowed: 'the IP number at which peers reach this machine, not the one for all interfaces'})
+		: address;
+};
+
+/** Origin of an HTTP server whose host is an IP number. */
+export const readOrigin: ValueReader<string> = text => {
+	const problem = failed({allowed: 'a URL such as http://10.0.0.2:7000 with an IP number and without a path'});
+	const match = /^https?:\/\/(?:\[(?<v6>[^\]]+)\]|(?<v4>[^:[\]/]+))(?::(?<port>\d{1,5}))?\/?$/u.exec(text);
+	const host = match?.groups?.v6 ?? match?.groups?.v4 ?? '';
+	const port = Number(match?.groups?.port ?? 80);
+	return isIP(host) !== 0 && port > 0 && port <= MAX_PORT ? ok(new URL(text).origin) : problem;
+};
+
+/** First and last rank, counted from 0. */
+export const readRanks: ValueReader<{readonly first: number; readonly last: number}> = text => {
+	const match = /^(?<first>\d{1,4})-(?<last>\d{1,4})$/u.exec(text);
+	const first = Number(match?.groups?.first);
+	const last = Number(match?.groups?.last);
+	return first <= last ? ok({first, last}) : failed({allowed: 'two ranks such as 0-7, the first not above the last'});
+};
+
+export const readInlineKey: ValueReader<KeySource> = text => {
+	const bytes = Buffer.byteLength(text);
+	return bytes >= minKeyBytes
+		? ok({kind: 'inline', key: Secret.create(text)})
+		: failed({read: `(hidden, ${bytes} bytes)`, allowed: `a key of at least ${minKeyBytes} bytes`});
+};
+
+export const readKeyPath: ValueReader<KeySource> = text =>
+	text !== '' && text.length <= MAX_PATH_CHARS ? ok({kind: 'file', path: text}) : failed({allowed: 'the path of a file that holds the key'});
