--- /dev/null
+++ b/packages/coordination/__tests__/unit/lease.test.ts
@@ -0,0 +1,112 @@
+import t from 'tap';
+import {FenceGate, Lease, writeConditionally} from '#coordination';
+import {MemoryStore, settle, type CallFate} from '#standins-platform';
+
+const NAME = 'groups/g/lease';
+
+function createLease(store: MemoryStore, holder: string): Lease {
+	let writes = 0;
+	return Lease.create({
+		store: store.client(holder), name: NAME, holder, createId: () => `${holder}-${writes++}`, durationMs: 100, marginMs: 10,
+	});
+}
+
+await t.test('a lapsed holder knows before another process can take over, and the fence grows', async t => {
+	const store = MemoryStore.create();
+	const [a, b] = [createLease(store, 'a'), createLease(store, 'b')];
+	t.match(await a.acquire(1000), {kind: 'held', fence: 1, until: 1090});
+	t.match(await b.acquire(5), {kind: 'other', holder: 'a', retryAt: 105});
+	t.match(await b.acquire(6), {kind: 'other', retryAt: 106}, 'the wait starts with the call after the first sight');
+	t.match(await a.renew(1050), {kind: 'held', fence: 1, until: 1140});
+	t.match(await b.acquire(106), {kind: 'other', retryAt: 206}, 'a renewal starts the wait anew');
+	t.equal(a.held(1139)?.fence, 1);
+	t.equal(a.held(1140), undefined, 'the margin is kept');
+	await b.acquire(107);
+	t.match(await b.acquire(207), {kind: 'held', fence: 2});
+	t.match(await a.renew(1139), {kind: 'lost'});
+	t.match(await b.release(), {kind: 'released'});
+	t.match(await a.acquire(1300), {kind: 'held', fence: 3}, 'a released lease needs no wait');
+});
+
+await t.test('a renewal in progress during a release does not bring the lease back', async t => {
+	const store = MemoryStore.create('stepped');
+	const lease = createLease(store, 'a');
+	const acquired = lease.acquire(0);
+	await store.drain();
+	await acquired;
+	const renewed = lease.renew(10);
+	await settle();
+	const released = lease.release();
+	t.equal(lease.held(10), undefined, 'it is given up before any answer');
+	await store.step(0, 'answer');
+	t.match(await renewed, {kind: 'held'});
+	await store.drain();
+	await released;
+	const other = createLease(store, 'b').acquire(0);
+	await store.drain();
+	t.match(await other, {kind: 'held', fence: 2}, 'the renewal was released as well');
+});
+
+await t.test('a renewal that takes effect late is renewed again with the same fence', async t => {
+	const store = MemoryStore.create('stepped');
+	const lease = createLease(store, 'a');
+	void lease.acquire(0);
+	await store.drain();
+	const renewed = lease.renew(10);
+	await settle();
+	await store.step(0, 'delay');
+	await store.step(0, 'refuse');
+	t.match(await renewed, {kind: 'unavailable'});
+	t.ok(lease.held(10), 'it stays held until it lapses');
+	store.deliverDelayed(0);
+	const again = lease.renew(20);
+	await settle();
+	await store.drain();
+	t.match(await again, {kind: 'held', fence: 1, until: 110});
+});
+
+await t.test('a stored object of another shape is neither taken nor overwritten', async t => {
+	const store = MemoryStore.create();
+	store.table.create(NAME, {fence: 'seven'});
+	t.match(await createLease(store, 'a').acquire(0), {kind: 'invalid', name: NAME});
+});
+
+await t.test('lost answers of a conditional write are resolved', async t => {
+	const cases: ReadonlyArray<{readonly fates: readonly CallFate[]; readonly kind: string; readonly why: string}> = [
+		{fates: ['lose-answer', 'answer'], kind: 'accepted', why: 'the write id is read back'},
+		{fates: ['lose-request', 'answer', 'answer'], kind: 'accepted', why: 'the same write is sent again'},
+		{fates: ['delay', 'answer', 'lose-request', 'answer', 'answer'], kind: 'accepted', why: 'twice'},
+		{fates: ['lose-request', 'answer', 'lose-request', 'answer', 'lose-request', 'answer'], kind: 'unresolved', why: 'attempts are bounded'},
+		{fates: ['lose-request', 'refuse'], kind: 'unresolved', why: 'nothing can be read back'},
+		{fates: ['lose-request', 'answer', 'refuse'], kind: 'unresolved', why: 'the first copy may still arrive'},
+		{fates: ['refuse'], kind: 'refused', why: 'nothing was sent'},
+	];
+	for (const {fates, kind, why} of cases) {
+		const store = MemoryStore.create('stepped');
+		const answer = writeConditionally({
+			store: store.client('a'), name: 'x', baseVersion: undefined, value: {id: 7}, isWritten: value => (value as {id: number}).id === 7,
+		});
+		for (const fate of fates) {
+			await store.step(0, fate); // eslint-disable-line no-await-in-loop
+		}
+
+		t.equal(store.waiting.length, 0, `no further call: ${why}`);
+		t.match(await answer, {kind}, why); // eslint-disable-line no-await-in-loop
+	}
+});
+
+await t.test('a gate is unknown until an authoritative source has answered', t => {
+	const gate = FenceGate.create(['p', 'q']);
+	gate.learn({kind: 'engine', fence: 4});
+	t.match(gate.admit(9), {kind: 'unknown'}, 'the engine alone is not authoritative');
+	gate.learn({kind: 'peer', id: 'p', fence: 5});
+	t.match(gate.admit(9), {kind: 'unknown'}, 'one peer of two is not authoritative');
+	gate.learn({kind: 'peer', id: 'q', fence: 2});
+	t.match(gate.admit(8), {kind: 'refused', highest: 9}, 'numbers seen while unknown count');
+	t.match(gate.admit(9), {kind: 'admitted'});
+	const told = FenceGate.create();
+	told.learn({kind: 'platform', fence: 3});
+	t.match(told.admit(3), {kind: 'admitted'});
+	t.throws(() => told.admit(Number.NaN), /not a whole number/);
+	t.end();
+});
--- /dev/null
+++ b/packages/coordination/src/conditional-write.ts
@@ -0,0 +1,91 @@
+/**
+ * A conditional write whose lost answers are resolved. Sending the same write again is
+ * safe: all copies carry the same condition, so at most one of them takes effect.
+ */
+import type {
+	CallOptions, ObjectStore, StoredObject, StoreFailure,
+} from './object-store.js';
+import {type Result} from '#core';
+
+/** One conditional write. */
+export type ConditionalWrite = {
+	readonly store: ObjectStore;
+	/** Name of the object. */
+	readonly name: string;
+	/** Version that must still be in force; undefined if the object must not exist. */
+	readonly baseVersion: string | undefined;
+	/** New value; it carries a unique write id. */
+	readonly value: unknown;
+	/** Tells from a stored value whether this write took effect, by its write id. */
+	readonly isWritten: (value: unknown) => boolean;
+	readonly options?: CallOptions | undefined;
+};
+
+/**
+ * What became of a conditional write.
+ *
+ * - `accepted`: it took effect; `current` is the object as last read, perhaps with later writes on top.
+ * - `conflict`: it did not take effect and never will; `current` is what is stored, undefined if nothing.
+ * - `refused`: it did not take effect and never will; the store could not be asked for more.
+ * - `unresolved`: it may have taken effect, or may still do so while `baseVersion` is in force.
+ */
+export type WriteAnswer
+	= | {readonly kind: 'accepted'; readonly current: StoredObject}
+		| {readonly kind: 'conflict'; readonly current: StoredObject | undefined}
+		| {readonly kind: 'refused'; readonly failure: StoreFailure}
+		| {readonly kind: 'unresolved'; readonly failure: StoreFailure};
+
+/** Copies of one write that are sent before it is reported as unresolved. */
+const MAX_ATTEMPTS = 3;
+
+/** Sends a conditional write and resolves lost answers by reading back. Never throws. */
+export async function writeConditionally(write: ConditionalWrite): Promise<WriteAnswer> {
+	return attemptWrite(write, 1, undefined);
+}
+
+async function attemptWrite(write: ConditionalWrite, attempt: number, unresolved: StoreFailure | undefined): Promise<WriteAnswer> {
+	const result = await send(write);
+	if (result.kind === 'ok') {
+		return {kind: 'accepted', current: result.value};
+	}
+
+	const {failure} = result;
+	if (failure.kind === 'conflict' || failure.kind === 'missing') {
+		return readBack(write, attempt, unresolved);
+	}
+
+	if (failure.kind === 'unavailable' && failure.effect === 'unknown') {
+		return readBack(write, attempt, failure);
+	}
+
+	return unresolved === undefined ? {kind: 'refused', failure} : {kind: 'unresolved', failure: unresolved};
+}
+
+async function send({store, name, baseVersion, value, options}: ConditionalWrite): Promise<Result<StoredObject, StoreFailure>> {
+	return baseVersion === undefined
+		? store.create(name, value, options)
+		: store.update(name, baseVersion, value, options);
+}
+
+async function readBack(write: ConditionalWrite, attempt: number, unresolved: StoreFailure | undefined): Promise<WriteAnswer> {
+	const found = await write.store.read(write.name, write.options);
+	if (found.kind === 'failed' && found.failure.kind !== 'missing') {
+		return unresolved === undefined
+			? {kind: 'refused', failure: found.failure}
+			: {kind: 'unresolved', failure: unresolved};
+	}
+
+	const current = found.kind === 'ok' ? found.value : undefined;
+	if (current !== undefined && write.isWritten(current.value)) {
+		return {kind: 'accepted', current};
+	}
+
+	// While the base version is in force, a copy of the write may still be on its way.
+	if (current?.resourceVersion !== write.baseVersion || unresolved === undefined) {
+		return {kind: 'conflict', current};
+	}
+
+	return attempt < MAX_ATTEMPTS
+		? attemptWrite(write, attempt + 1, unresolved)
+		: {kind: 'unresolved', failure: unresolved};
+}
--- a/packages/standins-platform/src/index.ts
+++ b/packages/standins-platform/src/index.ts
@@ -2,3 +2,6 @@
 export {PlatformServer, type CallCounts, type PlatformServerOptions} from './platform-server.js';
 export type {Faults} from './faults.js';
 export type {InstanceRecord} from './instance-list.js';
+export {
+	MemoryStore, settle, type CallFate, type WaitingCall,
+} from './memory-store.js';
