Let endpoints offer models by version, and read keys in one place

Change: settings take NAME, NAME@VERSION or NAME@VERSION+ADAPTER; the daemon uses resolveKeys and prints its findings with the others.

--- a/packages/coordination/__tests__/unit/lease.test.ts
+++ b/packages/coordination/__tests__/unit/lease.test.ts
@@ -87,11 +87,11 @@
 			store: store.client('a'), name: 'x', baseVersion: undefined, value: {id: 7}, isWritten: value => (value as {id: number}).id === 7,
 		});
 		for (const fate of fates) {
-			await store.step(0, fate); // eslint-disable-line no-await-in-loop
+			await store.step(0, fate);
 		}
 
 		t.equal(store.waiting.length, 0, `no further call: ${why}`);
-		t.match(await answer, {kind}, why); // eslint-disable-line no-await-in-loop
+		t.match(await answer, {kind}, why);
 	}
 });
 
--- a/packages/coordination/__tests__/unit/versioned-config.fuzz.test.ts
+++ b/packages/coordination/__tests__/unit/versioned-config.fuzz.test.ts
@@ -111,7 +111,7 @@
 		const write = world.store.waiting.findIndex(call => call.kind !== 'read');
 		await world.store.step(Math.max(0, write), fate);
 		while (world.store.waiting.length > 0) {
-			await world.store.step(0, 'refuse'); // eslint-disable-line no-await-in-loop
+			await world.store.step(0, 'refuse');
 		}
 	})),
 	fc.nat(3).map(index => command(`deliver ${index}`, world => {
@@ -136,7 +136,7 @@
 		for (const id of [0, 1]) {
 			if (world.pending[id] !== undefined) {
 				world.apply(id);
-				await settle(); // eslint-disable-line no-await-in-loop
+				await settle();
 				invariant(world.pending[id] === undefined, 'a change is unresolved although the store answers');
 			}
 		}
--- a/packages/coordination/__tests__/unit/versioned-config.test.ts
+++ b/packages/coordination/__tests__/unit/versioned-config.test.ts
@@ -23,7 +23,7 @@
 	const store = MemoryStore.create().client('cli');
 	const config = VersionedConfig.create({name: NAME});
 	for (let version = 0; version <= 33; version += 1) {
-		await config.apply(store, change(`w${version}`, version)); // eslint-disable-line no-await-in-loop
+		await config.apply(store, change(`w${version}`, version));
 	}
 
 	t.match(await config.apply(store, change('w0', 0)), {kind: 'unresolved', writeId: 'w0'});
@@ -67,7 +67,7 @@
 	];
 	for (const [name, run, ready] of cases) {
 		const config = VersionedConfig.create({name: NAME, seeds: ['r', 's']});
-		await run(config); // eslint-disable-line no-await-in-loop
+		await run(config);
 		t.equal(config.ready, ready, name);
 	}
 });
--- a/packages/daemon/src/bin.ts
+++ b/packages/daemon/src/bin.ts
@@ -5,7 +5,7 @@
 import {parseArgs} from 'node:util';
 import {formatFinding} from '#core';
 import {registerSignals, startDaemon} from '#daemon';
-import {readSettings} from '#settings';
+import {readSettings, resolveKeys} from '#settings';
 
 const USAGE = `Usage: mimosamountd SETTINGS-FILE
 
@@ -40,16 +40,18 @@
 	}
 
 	const settings = readSettings(text, file);
-	if (settings.kind === 'failed') {
-		for (const finding of settings.failure) {
+	const keys = settings.kind === 'ok' ? resolveKeys(settings.value, path => readFileSync(path, 'utf8')) : settings;
+	if (settings.kind === 'failed' || keys.kind === 'failed') {
+		const findings = keys.kind === 'failed' ? keys.failure : [];
+		for (const finding of findings) {
 			process.stderr.write(`${formatFinding(finding)}\n`);
 		}
 
-		failUsage(`${settings.failure.length} findings; not started`);
+		failUsage(`${findings.length} findings; not started`);
 		return;
 	}
 
-	const daemon = await startDaemon(settings.value);
+	const daemon = await startDaemon(settings.value, keys.value);
 	registerSignals(daemon);
 	process.stdout.write(`${JSON.stringify({ready: true, callerPort: daemon.callerPort, peerPort: daemon.peerPort})}\n`);
 }
--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -3,17 +3,13 @@
  * part asks for it.
  */
 import {randomUUID} from 'node:crypto';
-import {readFileSync} from 'node:fs';
 import {
 	asFunction, asValue, createContainer, InjectionMode, type AwilixContainer,
 } from 'awilix';
-import {InputError} from '#core';
 import {type Machine} from '#membership';
 import {Peering, PlatformWatch} from '#peering';
 import {PlatformClient} from '#platform';
-import {
-	Secret, type Address, type KeySource, type Settings,
-} from '#settings';
+import {type Address, type Keys, type Settings} from '#settings';
 import {createLogger, Metrics, type Logger} from '#telemetry';
 
 /** Parts of a daemon by name. */
@@ -34,30 +30,6 @@
 	return host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`;
 }
 
-/**
- * Reads a key from the settings or from the file that they name.
- *
- * @throws InputError when the file cannot be read or is empty.
- */
-export function readKey(source: KeySource): Secret {
-	if (source.kind === 'inline') {
-		return source.key;
-	}
-
-	let text: string;
-	try {
-		text = readFileSync(source.path, 'utf8').trim();
-	} catch (error) {
-		throw new InputError(`key file ${source.path}: ${error instanceof Error ? error.message : 'not readable'}`);
-	}
-
-	if (text === '') {
-		throw new InputError(`key file ${source.path} is empty`);
-	}
-
-	return Secret.create(text);
-}
-
 /** The machine that the settings describe. */
 export function describeMachine(settings: Settings): Machine {
 	const base = {
@@ -82,7 +54,7 @@
 }
 
 /** Builds the container of one daemon. */
-export function createDaemonContainer(settings: Settings, signal: AbortSignal): AwilixContainer<Cradle> {
+export function createDaemonContainer(settings: Settings, keys: Keys, signal: AbortSignal): AwilixContainer<Cradle> {
 	const container = createContainer<Cradle>({injectionMode: InjectionMode.PROXY, strict: true});
 	container.register({
 		settings: asValue(settings),
@@ -91,12 +63,12 @@
 		log: asFunction(() => createLogger(settings.id, settings.logLevel)).singleton(),
 		metrics: asFunction(() => Metrics.create()).singleton(),
 		machine: asFunction(() => describeMachine(settings)).singleton(),
-		platform: asFunction(() => PlatformClient.create({url: settings.platform.url, key: readKey(settings.platform.key).reveal()})).singleton(),
+		platform: asFunction(() => PlatformClient.create({url: settings.platform.url, key: keys.platformKey.reveal()})).singleton(),
 		peering: asFunction(async ({machine, incarnation, log, metrics}: Cradle) => Peering.create({
 			machine,
 			incarnation,
 			listen: settings.address,
-			sharedKey: readKey(settings.peers.sharedKey).reveal(),
+			sharedKey: keys.sharedKey.reveal(),
 			seeds: settings.peers.seeds.map(seed => formatAddress(seed)),
 			log,
 			metrics,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -5,7 +5,7 @@
 import {Endpoint} from '#endpoint';
 import {Entry} from '#entry';
 import {initHashing} from '#routing';
-import {type Settings} from '#settings';
+import {type Keys, type Settings} from '#settings';
 
 /** The part of a role that the daemon drives. */
 type Role = {
@@ -45,13 +45,12 @@
 /**
  * Starts a daemon.
  *
- * @throws InputError when a key file cannot be read.
  * @throws Error when an address cannot be listened on.
  */
-export async function startDaemon(settings: Settings): Promise<Daemon> {
+export async function startDaemon(settings: Settings, keys: Keys): Promise<Daemon> {
 	await initHashing();
 	const stop = new AbortController();
-	const container = createDaemonContainer(settings, stop.signal);
+	const container = createDaemonContainer(settings, keys, stop.signal);
 	const {cradle} = container;
 	const role = await startRole(settings, cradle);
 	await cradle.platformWatch;
--- a/packages/endpoint/src/endpoint.ts
+++ b/packages/endpoint/src/endpoint.ts
@@ -285,7 +285,6 @@
 
 			case 'lost': {
 				await this.#tellLost(key, run);
-				return;
 			}
 		}
 	}
--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -2,8 +2,8 @@
  * One attempt of a request at one endpoint. Frames are tied to request and attempt; a
  * frame that is late, crossed or out of place is dropped and counted.
  */
-import {createDeferred} from '#core';
 import {type Outcome} from './refusal.js';
+import {createDeferred} from '#core';
 import {
 	Checksum, type MessageOf, type PeerLink, type WireLoad,
 } from '#protocol';
@@ -182,7 +182,7 @@
 	#onChunk(message: MessageOf<'chunk'>): void {
 		if (message.offset !== this.#offset || !this.#headSeen) {
 			this.#options.dropped('unexpected-offset');
-			this.cancelAs({kind: 'corrupt'});
+			this.#abandon({kind: 'corrupt'});
 			return;
 		}
 
@@ -199,7 +199,7 @@
 	}
 
 	/** Ends the attempt with a given end and tells the endpoint to stop. */
-	cancelAs(end: AttemptEnd): void {
+	#abandon(end: AttemptEnd): void {
 		this.#options.link.send({kind: 'cancel', requestId: this.requestId, attempt: this.number});
 		this.#finish(end);
 	}
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -153,7 +153,7 @@
 
 	#refuse(res: FastifyReply, requestId: string, refusal: Refusal): void {
 		this.#options.metrics.count('refusals', refusal.reason);
-		res.hijack();
+		void res.hijack();
 		Answer.create(res.raw, requestId, () => undefined).refuse(refusal);
 	}
 
@@ -189,7 +189,7 @@
 				hangUp.abort();
 			}
 		});
-		res.hijack();
+		void res.hijack();
 		this.#inProgress += 1;
 		this.#context.budget.noteRequest(Date.now());
 		try {
@@ -292,22 +292,22 @@
 		switch (end.kind) {
 			case 'answered': {
 				answer.send(end.whole);
-
 				break;
 			}
 
 			case 'streamed': {
 				answer.finish();
-
 				break;
 			}
 
 			case 'refusal': {
 				answer.refuse(end);
+				break;
+			}
 
+			case 'abandoned': {
 				break;
 			}
-		// No default
 		}
 
 		return toRequestEnd(end);
--- a/packages/platform/__tests__/unit/client.test.ts
+++ b/packages/platform/__tests__/unit/client.test.ts
@@ -38,7 +38,7 @@
 		['remove', client.remove('a/b c', version), 'done'],
 	];
 	for (const [name, call, expected] of cases) {
-		t.equal(outcome(await call), expected, name); // eslint-disable-line no-await-in-loop
+		t.equal(outcome(await call), expected, name);
 	}
 
 	t.match(await client.list('a/'), {kind: 'ok', value: {items: []}});
--- a/packages/settings/src/read.ts
+++ b/packages/settings/src/read.ts
@@ -6,7 +6,7 @@
 import {scanIni, type KnownKeys, type Problem} from './scan.js';
 import {SectionReader} from './section-reader.js';
 import {
-	readAddress, readHash, readInlineKey, readInteger, readKeyPath, readList, readName, readOneOf, readOrigin,
+	readAddress, readHash, readInlineKey, readInteger, readKeyPath, readList, readModelName, readName, readOneOf, readOrigin,
 	readPeerAddress, readRanks, type ValueReader,
 } from './values.js';
 import {
@@ -136,7 +136,7 @@
 	const group = endpoint.required('group', readName);
 	const groupSize = endpoint.required('group-size', readInteger(1, MAX_GROUP_SIZE));
 	const ranks = endpoint.required('ranks', readRanks);
-	const models = endpoint.required('models', readList(readName));
+	const models = endpoint.required('models', readList(readModelName));
 	const entry = endpoint.entry('ranks');
 	if (entry !== undefined && ranks !== undefined && groupSize !== undefined && ranks.last >= groupSize) {
 		endpoint.report(entry, `${ranks.first}-${ranks.last}`, `ranks from 0 to ${groupSize - 1}, below group-size`);
--- a/packages/settings/src/values.ts
+++ b/packages/settings/src/values.ts
@@ -115,3 +115,12 @@
 
 export const readKeyPath: ValueReader<KeySource> = text =>
 	text !== '' && text.length <= MAX_PATH_CHARS ? ok({kind: 'file', path: text}) : failed({allowed: 'the path of a file that holds the key'});
+
+/** What `readModelName` accepts, in words. */
+const modelNameAllowed = `${nameAllowed}, then @VERSION or @VERSION+ADAPTER if the endpoint offers only these`;
+
+/** Reads a model that a replica offers. */
+export const readModelName: ValueReader<string> = text => {
+	const shaped = /^[^@+]+(?:@[^@+]+(?:\+[^@+]+)?)?$/u.test(text);
+	return shaped && text.split(/[@+]/u).every(part => isName(part)) ? ok(text) : failed({allowed: modelNameAllowed});
+};
--- a/packages/standins-platform/src/memory-store.ts
+++ b/packages/standins-platform/src/memory-store.ts
@@ -97,7 +97,7 @@
 	async drain(): Promise<void> {
 		await settle();
 		while (this.#waiting.length > 0) {
-			await this.step(0, 'answer'); // eslint-disable-line no-await-in-loop
+			await this.step(0, 'answer');
 		}
 	}
 
--- a/packages/tooling/src/run-fuzz.ts
+++ b/packages/tooling/src/run-fuzz.ts
@@ -45,7 +45,7 @@
 	while (performance.now() < endAt) {
 		const file = files[next % files.length]!;
 		next += 1;
-		const run = await runOnce(file, randomInt(MAX_SEED)); // eslint-disable-line no-await-in-loop
+		const run = await runOnce(file, randomInt(MAX_SEED));
 		done.push(run);
 		if (!run.passed) {
 			console.log(run.output);
