Add the map change protocol with a first fuzz test

Cause: a change of the expert map must take effect at the same step on all ranks. Change: MapLeader, MapMember and the decisions on gates and new epochs; a simulated group with faults and the fuzz test that checks the steps' maps.

--- /dev/null
+++ b/packages/expertmap/__tests__/group-simulation.ts
@@ -0,0 +1,343 @@
+/**
+ * A group of endpoint processes, engines, links and a platform in simulated time, with
+ * faults. Drives MapMember and MapLeader as the daemon does.
+ */
+import {unsafeUniformIntDistribution, xoroshiro128plus, type RandomGenerator} from 'pure-rand';
+import {
+	ENGINE_TIMEOUT_MS, HOLD_LIMIT_MS, HOLD_QUERY_MS, MapLeader, MapMember, RECONCILE_MS,
+	type EngineAnswer, type EngineEffect, type LeaderEffect, type MapMessage, type MapRecord, type MemberEffect,
+} from '#expertmap';
+import {EngineRank, LockStepGroup} from '#standins-engine';
+
+const TICK_MS = 10;
+const STEP_MS = 50;
+const LEASE_MS = 3000;
+const map = {slots: []};
+
+type Process = {
+	readonly id: string;
+	readonly incarnation: number;
+	readonly member: MapMember;
+	leader: MapLeader | undefined;
+	/** Version of the platform record that the leader's next write must find. */
+	recordVersion: number;
+	pausedUntil: number;
+	alive: boolean;
+};
+
+type Event = {at: number; readonly seq: number; readonly source: string; readonly run: () => void};
+
+export class GroupSimulation {
+	readonly ids: readonly string[];
+	now = 0;
+	loss = 0;
+	duplication = 0;
+	maxDelayMs = 5;
+	/** Delay of orders in an engine's socket, ms, by endpoint. */
+	readonly socketDelayMs = new Map<string, number>();
+	/** Endpoints on the far side of a partition. */
+	isolated = new Set<string>();
+	platformUp = true;
+	/** Changes still to be proposed; an idle leader takes the next one. */
+	proposals = 0;
+	/** Violations of the oracles that are checked all the time. */
+	readonly violations: string[] = [];
+	record: MapRecord = {installed: {version: 1, map}};
+	readonly group: LockStepGroup;
+	readonly #random: RandomGenerator;
+	readonly #processes = new Map<string, Process>();
+	readonly #heldSince = new Map<string, number>();
+	#events: Event[] = [];
+	#seq = 0;
+	#incarnations = 0;
+	#recordVersion = 1;
+	#lease = {holder: '', until: 0, fence: 0};
+	#flowingSince = 0;
+
+	constructor(count: number, seed: number) {
+		this.ids = Array.from({length: count}, (_, index) => String.fromCodePoint(97 + index));
+		this.#random = xoroshiro128plus(seed);
+		this.group = LockStepGroup.create(this.ids.map(id => this.#createRank(id, 1)));
+		for (const id of this.ids) {
+			this.start(id);
+		}
+	}
+
+	integer(min: number, max: number): number {
+		return unsafeUniformIntDistribution(min, max, this.#random);
+	}
+
+	start(id: string): void {
+		this.#incarnations += 1;
+		const member = MapMember.create({
+			group: 'g', id, peers: this.ids.filter(other => other !== id), random: () => this.integer(0, 999_999) / 1_000_000,
+		}, this.now);
+		this.#processes.set(id, {
+			id, incarnation: this.#incarnations, member, leader: undefined, recordVersion: 0, pausedUntil: 0, alive: true,
+		});
+	}
+
+	kill(id: string): void {
+		const process = this.#processes.get(id);
+		if (process !== undefined) {
+			process.alive = false;
+		}
+	}
+
+	restart(id: string): void {
+		if (this.#processes.get(id)?.alive !== true) {
+			this.start(id);
+		}
+	}
+
+	/** Pauses a process; what it has sent but not yet delivered leaves only after it wakes. */
+	pause(id: string, ms: number): void {
+		const process = this.#processes.get(id);
+		if (process !== undefined) {
+			process.pausedUntil = this.now + ms;
+			for (const event of this.#events.filter(event => event.source === id)) {
+				event.at += ms;
+			}
+		}
+	}
+
+	killEngine(id: string): void {
+		this.group.kill(id);
+		this.#heldSince.delete(id);
+	}
+
+	returnEngine(id: string): void {
+		if (this.group.rank(id) === undefined) {
+			this.group.add(this.#createRank(id, 0));
+		}
+	}
+
+	/** The phase of each live leader, for messages of failed tests. */
+	describe(): string {
+		const states = this.ids.map(id => JSON.stringify(this.group.rank(id)?.state(this.now)));
+		const phases = [...this.#processes.values()].map(process => `${process.id}:${process.leader?.phase ?? '-'}:${process.member.status(this.now).changing ?? '-'}`);
+		return `${states.join('\n')}\n${phases.join(' ')} record ${this.record.installed.version} planned ${this.record.planned?.version ?? '-'} at ${this.now}`;
+	}
+
+	/** Ends all faults and brings back what has died. */
+	heal(): void {
+		this.proposals = 0;
+		this.loss = 0;
+		this.duplication = 0;
+		this.maxDelayMs = 5;
+		this.socketDelayMs.clear();
+		this.isolated = new Set();
+		this.platformUp = true;
+		for (const id of this.ids) {
+			this.restart(id);
+			this.returnEngine(id);
+			this.group.stall(id, 0);
+		}
+	}
+
+	/** True if a change is in force everywhere or undone everywhere and the group makes steps as a whole. */
+	get isSettled(): boolean {
+		const states = this.ids.map(id => this.group.rank(id)?.state(this.now));
+		return this.record.planned === undefined && states.every(state => state?.epoch === states[0]?.epoch && state?.gate === undefined
+			&& state?.mapVersion === this.record.installed.version && state.prepared.length === 0 && state.members.length === this.ids.length);
+	}
+
+	run(ms: number): void {
+		const end = this.now + ms;
+		while (this.now < end) {
+			this.now += TICK_MS;
+			this.#deliver();
+			for (const process of this.#running()) {
+				this.#tick(process);
+			}
+
+			if (this.now % STEP_MS === 0) {
+				this.group.tick(this.now);
+			}
+
+			this.#observe();
+		}
+	}
+
+	#createRank(id: string, epoch: number): EngineRank {
+		const kind = this.ids.indexOf(id) % 2 === 0 ? 'ignores-fence' : 'checks-fence';
+		const members = epoch === 0 ? [] : this.ids;
+		return EngineRank.create({
+			id, kind, epoch, members, mapVersion: epoch, loadMs: 300,
+		});
+	}
+
+	#running(): readonly Process[] {
+		return [...this.#processes.values()].filter(process => process.alive && process.pausedUntil <= this.now);
+	}
+
+	#schedule(source: string, delay: number, run: () => void): void {
+		this.#seq += 1;
+		this.#events.push({
+			at: this.now + delay, seq: this.#seq, source, run,
+		});
+	}
+
+	#deliver(): void {
+		const due = this.#events.filter(event => event.at <= this.now).toSorted((a, b) => (a.at - b.at) || (a.seq - b.seq));
+		this.#events = this.#events.filter(event => event.at > this.now);
+		for (const event of due) {
+			event.run();
+		}
+	}
+
+	#tick(process: Process): void {
+		this.#holdLease(process);
+		if (this.now % 50 === 0) {
+			this.#perform(process, process.member.tick(this.now));
+			this.#perform(process, process.leader?.tick(this.now) ?? []);
+			this.#propose(process);
+		}
+	}
+
+	#propose(process: Process): void {
+		const result = this.proposals > 0 ? process.leader?.propose(map, this.now) : undefined;
+		if (result?.kind === 'ok') {
+			this.proposals -= 1;
+			this.#perform(process, result.value);
+		}
+	}
+
+	#holdLease(process: Process): void {
+		if (!this.platformUp || this.now % 500 !== 0) {
+			return;
+		}
+
+		const lease = this.#lease;
+		this.#perform(process, process.member.learnFence(lease.fence, this.now));
+		if (process.leader !== undefined && process.leader.phase !== 'lapsed' && lease.holder === `${process.incarnation}` && lease.until > this.now) {
+			lease.until = this.now + LEASE_MS;
+			process.leader.renew(lease.until);
+		} else if (lease.until <= this.now && this.integer(0, 2) === 0) {
+			this.#lease = {holder: `${process.incarnation}`, until: this.now + LEASE_MS, fence: lease.fence + 1};
+			process.recordVersion = this.#recordVersion;
+			process.leader = MapLeader.create({
+				group: 'g', id: process.id, members: this.ids, fence: this.#lease.fence, leaseUntil: this.#lease.until,
+				record: this.record, random: () => this.integer(0, 999_999) / 1_000_000, prepareLimitMs: 3000,
+			}, this.now);
+			this.#perform(process, process.member.learnFence(this.#lease.fence, this.now));
+		}
+	}
+
+	#perform(process: Process, effects: ReadonlyArray<MemberEffect | LeaderEffect>): void {
+		for (const effect of effects) {
+			switch (effect.kind) {
+				case 'send': {
+					this.#send(process, effect.to, effect.message);
+					break;
+				}
+
+				case 'order':
+				case 'read-state': {
+					this.#call(process, effect);
+					break;
+				}
+
+				case 'record': {
+					this.#write(process, effect);
+					break;
+				}
+			}
+		}
+	}
+
+	#send(from: Process, to: string, message: MapMessage): void {
+		const target = this.#processes.get(to);
+		const isLocal = from.id === to;
+		if (target === undefined || (!isLocal && this.integer(1, 100) <= this.loss)) {
+			return;
+		}
+
+		const copies = !isLocal && this.integer(1, 100) <= this.duplication ? 2 : 1;
+		for (let copy = 0; copy < copies; copy++) {
+			this.#schedule(from.id, isLocal ? 0 : this.integer(1, this.maxDelayMs), () => {
+				this.#receive(from.id, target, message);
+			});
+		}
+	}
+
+	#receive(from: string, target: Process, message: MapMessage): void {
+		if (!target.alive || (from !== target.id && this.isolated.has(from) !== this.isolated.has(target.id))) {
+			return;
+		}
+
+		if (target.pausedUntil > this.now) {
+			this.#schedule('', target.pausedUntil - this.now, () => {
+				this.#receive(from, target, message);
+			});
+			return;
+		}
+
+		this.#perform(target, target.member.handle(from, message, this.now));
+		this.#perform(target, target.leader?.handle(from, message, this.now) ?? []);
+	}
+
+	/** Calls an engine. The order takes effect even if the process has died meanwhile. */
+	#call(process: Process, effect: EngineEffect): void {
+		const rank = this.group.rank(process.id);
+		this.#schedule('', this.integer(1, 5) + (effect.kind === 'order' ? this.socketDelayMs.get(process.id) ?? 0 : 0), () => {
+			const isUp = rank !== undefined && this.group.rank(process.id) === rank;
+			const call = (): EngineAnswer => {
+				if (!isUp) {
+					return {kind: 'no-answer'};
+				}
+
+				return effect.kind === 'order' ? rank.order(effect.order, this.now) : {kind: 'state', state: rank.state(this.now)};
+			};
+
+			this.#answer(process, effect.token, call());
+		});
+	}
+
+	#answer(process: Process, token: number, answer: EngineAnswer): void {
+		this.#schedule('', Math.max(1, process.pausedUntil - this.now), () => {
+			if (process.pausedUntil > this.now) {
+				this.#answer(process, token, answer);
+			} else if (process.alive) {
+				this.#perform(process, process.member.engineAnswered(token, answer, this.now));
+			}
+		});
+	}
+
+	#write(process: Process, effect: Extract<LeaderEffect, {readonly kind: 'record'}>): void {
+		this.#schedule(process.id, this.integer(1, 20), () => {
+			const isMine = process.recordVersion === this.#recordVersion;
+			const outcome = this.platformUp ? (isMine ? 'done' : 'conflict') : 'unavailable';
+			if (outcome === 'done') {
+				this.#recordVersion += 1;
+				process.recordVersion = this.#recordVersion;
+				this.record = effect.record;
+			}
+
+			if (process.alive && process.pausedUntil <= this.now) {
+				this.#perform(process, process.leader?.recorded(effect.id, outcome, this.now) ?? []);
+			}
+		});
+	}
+
+	/** Checks the bound on holds while nothing is faulty. */
+	#observe(): void {
+		const isFlowing = this.loss === 0 && this.maxDelayMs <= 5 && this.isolated.size === 0 && this.socketDelayMs.size === 0
+			&& this.#running().length === this.ids.length && this.ids.every(id => this.group.rank(id) !== undefined);
+		this.#flowingSince = isFlowing ? this.#flowingSince : this.now;
+		const bound = HOLD_LIMIT_MS + ((this.ids.length + 2) * HOLD_QUERY_MS) + RECONCILE_MS + ENGINE_TIMEOUT_MS;
+		for (const id of this.ids) {
+			const held = this.group.rank(id)?.held === true;
+			const since = held ? this.#heldSince.get(id) ?? this.now : undefined;
+			if (since === undefined) {
+				this.#heldSince.delete(id);
+			} else {
+				this.#heldSince.set(id, since);
+				if (this.now - Math.max(since, this.#flowingSince) > bound) {
+					this.violations.push(`${id} held since ${since}, now ${this.now}`);
+					this.#heldSince.set(id, this.now);
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/packages/expertmap/__tests__/unit/change.fuzz.test.ts
@@ -0,0 +1,119 @@
+/** Guards invariant 1 (one map per step), bounded holds and the settling of every change under faults. */
+import process from 'node:process';
+import fc from 'fast-check';
+import t from 'tap';
+import {GroupSimulation} from '../group-simulation.js';
+
+const SEED = Number(process.env.FUZZ_SEED ?? 20_261);
+const RUNS = Number(process.env.FUZZ_RUNS ?? 300);
+/** Time after the last fault in which every change is settled: a lease, a re-form, joining and two undone changes. */
+const SETTLE_MS = 60_000;
+const MEMBERS = 4;
+
+type Model = {faults: number};
+type Action = fc.Command<Model, GroupSimulation>;
+
+/** A command that acts on the simulation, lets time pass and checks the oracles. */
+function command(text: string, ms: number, act: (real: GroupSimulation) => void): Action {
+	return {
+		check: () => true,
+		run(model, real) {
+			model.faults += 1;
+			act(real);
+			real.run(ms);
+			check(real);
+		},
+		toString: () => `${text} +${ms}`,
+	};
+}
+
+function check(real: GroupSimulation): void {
+	const [mixed] = real.group.mixedSteps;
+	if (mixed !== undefined) {
+		throw new Error(`step ${mixed.step} of epoch ${mixed.epoch} used two maps: ${JSON.stringify([...mixed.maps])}`);
+	}
+
+	if (real.violations.length > 0) {
+		throw new Error(real.violations.join('; '));
+	}
+}
+
+const id = fc.constantFrom('a', 'b', 'c', 'd');
+const wait = fc.integer({min: 1, max: 150}).map(n => n * 10);
+const long = fc.integer({min: 1, max: 80}).map(n => n * 100);
+const actions = [
+	fc.tuple(fc.integer({min: 1, max: 20}), wait).map(([count, ms]) => command(`propose ${count}`, ms, real => {
+		real.proposals += count;
+	})),
+	long.map(ms => command('run', ms, () => undefined)),
+	long.map(ms => command('heal', ms, real => {
+		real.heal();
+	})),
+	fc.tuple(id, wait).map(([id, ms]) => command(`kill ${id}`, ms, real => {
+		real.kill(id);
+	})),
+	fc.tuple(id, wait).map(([id, ms]) => command(`restart ${id}`, ms, real => {
+		real.restart(id);
+	})),
+	fc.tuple(id, wait, long).map(([id, ms, pause]) => command(`pause ${id} ${pause}`, ms, real => {
+		real.pause(id, pause);
+	})),
+	fc.tuple(id, wait, long).map(([id, ms, late]) => command(`late socket ${id} ${late}, kill and restart`, ms, real => {
+		real.socketDelayMs.set(id, late);
+		real.run(100);
+		real.kill(id);
+		real.socketDelayMs.delete(id);
+		real.restart(id);
+	})),
+	fc.tuple(fc.uniqueArray(id, {maxLength: 2}), wait).map(([ids, ms]) => command(`isolate ${ids.join('')}`, ms, real => {
+		real.isolated = new Set(ids);
+	})),
+	fc.tuple(fc.integer({min: 0, max: 60}), fc.integer({min: 0, max: 30}), fc.integer({min: 5, max: 900}), wait)
+		.map(([loss, duplication, delay, ms]) => command(`loss ${loss} duplication ${duplication} delay ${delay}`, ms, real => {
+			real.loss = loss;
+			real.duplication = duplication;
+			real.maxDelayMs = delay;
+		})),
+	fc.tuple(id, wait, long).map(([id, ms, stall]) => command(`stall ${id} ${stall}`, ms, real => {
+		real.group.stall(id, real.now + stall);
+	})),
+	fc.tuple(id, wait).map(([id, ms]) => command(`kill engine ${id}`, ms, real => {
+		real.killEngine(id);
+	})),
+	fc.tuple(id, wait).map(([id, ms]) => command(`return engine ${id}`, ms, real => {
+		real.returnEngine(id);
+	})),
+	fc.tuple(fc.boolean(), long).map(([up, ms]) => command(`platform ${up ? 'up' : 'down'}`, ms, real => {
+		real.platformUp = up;
+	})),
+];
+
+await t.test('all ranks use one map in every step, holds are bounded and every change settles', t => {
+	let changes = 0;
+	fc.assert(fc.property(fc.integer(), fc.commands(actions, {maxCommands: 30}), (seed, commands) => {
+		const real = new GroupSimulation(MEMBERS, seed);
+		real.run(2000);
+		real.proposals = 5;
+		fc.modelRun(() => ({model: {faults: 0}, real}), commands);
+		real.heal();
+		const end = real.now + SETTLE_MS;
+		while (real.now < end && !real.isSettled) {
+			real.run(500);
+		}
+
+		check(real);
+		if (!real.isSettled) {
+			throw new Error(`not settled:\n${real.describe()}`);
+		}
+
+		const {completed} = real.group;
+		real.run(1000);
+		if (real.group.completed === completed) {
+			throw new Error(`no step after settling:\n${real.describe()}`);
+		}
+
+		changes += real.record.installed.version > 1 ? 1 : 0;
+	}), {seed: SEED, numRuns: RUNS});
+	t.ok(changes * 4 > RUNS, `changes are made in at least a quarter of the runs, in ${changes} of ${RUNS}`);
+	t.end();
+});
--- a/packages/expertmap/src/index.ts
+++ b/packages/expertmap/src/index.ts
@@ -1,3 +1,11 @@
 /** Public index: the protocol that changes the expert map of a group in one step, and the rebalancing planner. */
 export * from './engine-order.js';
 export * from './messages.js';
+export * from './limits.js';
+export type {EngineAnswer, EngineEffect} from './engine-queue.js';
+export type {MemberEffect, MemberOptions} from './member-core.js';
+export {MapMember, type MemberStatus} from './member.js';
+export {mainEpoch, type MapRecord, type VersionedMap} from './leader-phase.js';
+export {
+	MapLeader, type LeaderEffect, type LeaderOptions, type ProposalRefusal, type RecordOutcome,
+} from './leader.js';
--- /dev/null
+++ b/packages/expertmap/src/leader.ts
@@ -0,0 +1,518 @@
+/**
+ * Leads changes of a group's expert map while its process holds the group's lease.
+ * Its own engine receives `go` last. Once the first `go` is sent, the members alone
+ * decide the outcome, so a leader that stops at any point does no harm.
+ */
+import type {ExpertMap} from './engine-order.js';
+import {
+	mainEpoch, planJoin, settledVersion, type LeaderPhase, type MapRecord, type Round,
+} from './leader-phase.js';
+import {
+	GATE_LIMIT_MS, GO_LIMIT_MS, HOLD_LIMIT_MS, HOLD_QUERY_MS, PREPARE_LIMIT_MS, RECONCILE_MS, RECORD_RETRY_MS, RESEND_MS,
+} from './limits.js';
+import type {MapMessage, MapMessageOf} from './messages.js';
+import {PeerViews} from './peer-views.js';
+import {nextEpoch} from './reform.js';
+import {failed, ok, type Result} from '#core';
+
+/** What the driver does for a leader: `record` is a conditional update of `groups/NAME/map`. */
+export type LeaderEffect
+	= | {readonly kind: 'send'; readonly to: string; readonly message: MapMessage}
+		| {readonly kind: 'record'; readonly id: number; readonly record: MapRecord};
+
+/** Outcome of a `record` effect after reading back: `conflict` if another process has written the object. */
+export type RecordOutcome = 'done' | 'conflict' | 'unavailable';
+
+/** Settings of a leader. */
+export type LeaderOptions = {
+	readonly group: string;
+	/** Id of this endpoint, which holds the lease. */
+	readonly id: string;
+	/** Ids of all endpoints of the group, this one included. */
+	readonly members: readonly string[];
+	/** Fencing number of the lease. */
+	readonly fence: number;
+	/** End of the lease, ms. */
+	readonly leaseUntil: number;
+	/** Value of `groups/NAME/map` when the lease was taken. */
+	readonly record: MapRecord;
+	/** Returns a number in [0, 1). */
+	readonly random: () => number;
+	/** Steps between the current one and the gate; default 10, which is 500 ms at 50 ms a step. */
+	readonly marginSteps?: number;
+	/** Time for loading experts, ms; default 120,000. */
+	readonly prepareLimitMs?: number;
+};
+
+/** Why a proposed map is not taken on. */
+export type ProposalRefusal = 'busy' | 'lapsed' | 'outside-epoch';
+
+/** A phase that waits for answers to repeated messages. */
+type TallyPhase = Extract<LeaderPhase, Round & {readonly sentAt: number}>;
+
+/** Answer that each such phase waits for. */
+const AWAITED = {
+	preparing: 'map-prepared', joining: 'map-prepared', gating: 'map-gated', going: 'map-gone', cancelling: 'map-cancelled',
+} as const;
+
+/** Distinguishes the leader's rounds of queries from those of the member in the same process. */
+const FIRST_ROUND = 1_000_000_000;
+
+/** Refusals that repeating the message may overcome. */
+const TEMPORARY: ReadonlySet<string> = new Set(['fence-unknown', 'engine-down', 'busy', 'not-last']);
+
+type Subject = Pick<MapMessage, 'version' | 'step' | 'epoch'>;
+
+/** The leader of one group for the time of one lease. */
+export class MapLeader {
+	static create(options: LeaderOptions, now: number): MapLeader {
+		return new MapLeader(options, now);
+	}
+
+	readonly #options: LeaderOptions;
+	readonly #views: PeerViews;
+	#record: MapRecord;
+	#phase: LeaderPhase = {kind: 'settling'};
+	#leaseUntil: number;
+	#effects: LeaderEffect[] = [];
+	#recordId = 0;
+
+	private constructor(options: LeaderOptions, now: number) {
+		this.#options = options;
+		this.#views = PeerViews.create(options.members, FIRST_ROUND);
+		this.#record = options.record;
+		this.#leaseUntil = options.leaseUntil;
+		this.#query(now);
+	}
+
+	/** Phase, for status output and for the planner, which proposes only to an idle leader. */
+	get phase(): LeaderPhase['kind'] {
+		return this.#phase.kind;
+	}
+
+	/** The record as last confirmed by the platform. */
+	get record(): MapRecord {
+		return this.#record;
+	}
+
+	/** Extends the lease; without effect once it has ended. */
+	renew(leaseUntil: number): void {
+		this.#leaseUntil = Math.max(this.#leaseUntil, leaseUntil);
+	}
+
+	/** Replaces the ids of the group's endpoints. */
+	setMembers(members: readonly string[]): void {
+		this.#views.setIds(members);
+	}
+
+	/** Begins a change to `map`. On `ok`, the effects are to be carried out. */
+	propose(map: ExpertMap, now: number): Result<readonly LeaderEffect[], ProposalRefusal> {
+		if (this.#hasLapsed(now)) {
+			return failed('lapsed');
+		}
+
+		const states = this.#views.recent(now);
+		const main = mainEpoch(states);
+		if (this.#phase.kind !== 'idle') {
+			return failed('busy');
+		}
+
+		if (main?.members.includes(this.#options.id) !== true) {
+			return failed('outside-epoch');
+		}
+
+		const seen = [...states.values()].flatMap(state => [state.mapVersion, ...state.prepared]);
+		const version = Math.max(this.#record.installed.version, ...seen) + 1;
+		const plan = {version, map};
+		this.#save({installed: this.#record.installed, planned: plan}, now, {plan, epoch: main.epoch, members: main.members});
+		return ok(this.#flush());
+	}
+
+	/** Hands back the outcome of a `record` effect. */
+	recorded(id: number, outcome: RecordOutcome, now: number): readonly LeaderEffect[] {
+		const phase = this.#phase;
+		if (this.#hasLapsed(now) || phase.kind !== 'recording' || phase.id !== id) {
+			return [];
+		}
+
+		if (outcome === 'conflict') {
+			this.#phase = {kind: 'lapsed'};
+		} else if (outcome === 'done') {
+			this.#record = phase.value;
+			this.#phase = phase.next === undefined
+				? {kind: 'idle'}
+				: {
+					...phase.next, kind: 'preparing', since: now, sentAt: -Infinity, done: new Set(),
+				};
+		}
+
+		return this.tick(now);
+	}
+
+	/** Handles an answer; kinds that concern members only are ignored. */
+	handle(from: string, message: MapMessage, now: number): readonly LeaderEffect[] {
+		if (this.#hasLapsed(now) || message.group !== this.#options.group) {
+			return [];
+		}
+
+		switch (message.kind) {
+			case 'map-state': {
+				this.#views.answered(from, message.round, message.state, now);
+				this.#onState(from, message, now);
+				break;
+			}
+
+			case 'map-prepared':
+			case 'map-gated':
+			case 'map-gone':
+			case 'map-cancelled': {
+				this.#onDone(from, message, now);
+				break;
+			}
+
+			case 'map-refused': {
+				this.#onRefused(message, now);
+				break;
+			}
+
+			case 'map-prepare':
+			case 'map-gate':
+			case 'map-go':
+			case 'map-cancel':
+			case 'map-query':
+			case 'map-reform':
+			case 'map-reformed': {
+				break;
+			}
+		}
+
+		return this.tick(now);
+	}
+
+	/** Advances the time; to be called at least every 100 ms. */
+	tick(now: number): readonly LeaderEffect[] {
+		if (this.#hasLapsed(now)) {
+			this.#phase = {kind: 'lapsed'};
+			this.#effects = [];
+			return [];
+		}
+
+		const isAttentive = this.#phase.kind === 'settling' || this.#phase.kind === 'inviting';
+		if (now - this.#views.roundAt >= (isAttentive ? HOLD_QUERY_MS : RECONCILE_MS)) {
+			this.#query(now);
+		}
+
+		this.#advance(now);
+		return this.#flush();
+	}
+
+	#hasLapsed(now: number): boolean {
+		return this.#phase.kind === 'lapsed' || now >= this.#leaseUntil;
+	}
+
+	#flush(): readonly LeaderEffect[] {
+		const effects = this.#effects;
+		this.#effects = [];
+		return effects;
+	}
+
+	#advance(now: number): void {
+		const phase = this.#phase;
+		switch (phase.kind) {
+			case 'settling': {
+				this.#settle(now);
+				break;
+			}
+
+			case 'idle': {
+				this.#beginJoin(now);
+				break;
+			}
+
+			case 'inviting': {
+				this.#invite(phase, now);
+				break;
+			}
+
+			case 'recording': {
+				if (now - phase.sentAt >= RECORD_RETRY_MS) {
+					this.#save(phase.value, now, phase.next);
+				}
+
+				break;
+			}
+
+			case 'asking': {
+				if (now - phase.since >= GO_LIMIT_MS) {
+					this.#cancel(phase, now);
+				}
+
+				break;
+			}
+
+			case 'preparing':
+			case 'gating':
+			case 'going':
+			case 'cancelling':
+			case 'joining': {
+				this.#advanceTally(phase, now);
+				break;
+			}
+
+			case 'lapsed': {
+				break;
+			}
+		}
+	}
+
+	#advanceTally(phase: TallyPhase, now: number): void {
+		if (phase.members.every(id => phase.done.has(id))) {
+			this.#onAllDone(phase, now);
+			return;
+		}
+
+		const limits = {
+			preparing: this.#options.prepareLimitMs ?? PREPARE_LIMIT_MS,
+			gating: GATE_LIMIT_MS,
+			going: GO_LIMIT_MS,
+			cancelling: HOLD_LIMIT_MS,
+			joining: this.#options.prepareLimitMs ?? PREPARE_LIMIT_MS,
+		};
+		if (now - phase.since >= limits[phase.kind]) {
+			this.#onTimeout(phase, now);
+			return;
+		}
+
+		// A map is large, so it is repeated less often than the other messages.
+		const interval = phase.kind === 'preparing' || phase.kind === 'joining' ? RECONCILE_MS : RESEND_MS;
+		if (now - phase.sentAt >= interval) {
+			this.#phase = {...phase, sentAt: now};
+			this.#sendTally(phase);
+		}
+	}
+
+	#sendTally(phase: TallyPhase): void {
+		const waiting = phase.members.filter(id => !phase.done.has(id));
+		for (const id of waiting) {
+			this.#sendTo(id, phase, waiting.length === 1);
+		}
+	}
+
+	#sendTo(id: string, phase: TallyPhase, isLast: boolean): void {
+		const subject = {version: phase.plan.version, step: 'step' in phase ? phase.step : 0, epoch: phase.epoch};
+		const header = this.#header(subject);
+		switch (phase.kind) {
+			case 'preparing':
+			case 'joining': {
+				this.#send(id, {...header, kind: 'map-prepare', map: phase.plan.map});
+				break;
+			}
+
+			case 'gating': {
+				this.#send(id, {...header, kind: 'map-gate', arbiter: this.#options.id});
+				break;
+			}
+
+			case 'going': {
+				// The own engine goes last: until all others have gone, it holds the group at the gate.
+				if (id !== this.#options.id || isLast) {
+					this.#send(id, {...header, kind: 'map-go'});
+				}
+
+				break;
+			}
+
+			case 'cancelling': {
+				this.#send(id, {...header, kind: 'map-cancel'});
+				break;
+			}
+		}
+	}
+
+	#onAllDone(phase: TallyPhase, now: number): void {
+		const {plan, epoch, members} = phase;
+		switch (phase.kind) {
+			case 'preparing': {
+				this.#phase = {
+					kind: 'asking', plan, epoch, members, since: now,
+				};
+				this.#query(now);
+				break;
+			}
+
+			case 'gating': {
+				this.#begin({...phase, kind: 'going'}, now);
+				break;
+			}
+
+			case 'going': {
+				this.#beginSettling(now);
+				break;
+			}
+
+			case 'cancelling': {
+				this.#save({installed: this.#record.installed}, now);
+				break;
+			}
+
+			case 'joining': {
+				this.#phase = {
+					kind: 'inviting', invitation: phase.invitation, version: plan.version, epoch, since: now, sentAt: -Infinity,
+				};
+				break;
+			}
+		}
+	}
+
+	#onTimeout(phase: TallyPhase, now: number): void {
+		if (phase.kind === 'preparing' || phase.kind === 'gating') {
+			this.#cancel(phase, now);
+		} else {
+			this.#beginSettling(now);
+		}
+	}
+
+	#begin(phase: TallyPhase, now: number): void {
+		this.#phase = {
+			...phase, since: now, sentAt: -Infinity, done: new Set(),
+		};
+		this.#advance(now);
+	}
+
+	#cancel(round: Round, now: number): void {
+		const {plan, epoch, members} = round;
+		this.#begin({
+			kind: 'cancelling', plan, epoch, members, since: now, sentAt: now, done: new Set(),
+		}, now);
+	}
+
+	#onDone(from: string, message: MapMessageOf<'map-prepared' | 'map-gated' | 'map-gone' | 'map-cancelled'>, now: number): void {
+		const phase = this.#phase;
+		if (!('plan' in phase) || !('done' in phase) || message.version !== phase.plan.version || message.epoch !== phase.epoch) {
+			return;
+		}
+
+		if (message.kind === AWAITED[phase.kind]) {
+			const done = new Set([...phase.done, from]);
+			const isNextLast = phase.kind === 'going' && done.size === phase.members.length - 1;
+			this.#phase = {...phase, done, sentAt: isNextLast ? -Infinity : phase.sentAt};
+		} else if (phase.kind === 'cancelling' && message.kind === 'map-gone') {
+			this.#beginSettling(now);
+		}
+	}
+
+	#onRefused(message: MapMessageOf<'map-refused'>, now: number): void {
+		const phase = this.#phase;
+		const isAbout = 'plan' in phase && message.version === phase.plan.version && message.epoch === phase.epoch;
+		if (!isAbout || TEMPORARY.has(message.reason)) {
+			return;
+		}
+
+		const isOfChange = (phase.kind === 'preparing' && message.of === 'prepare') || (phase.kind === 'gating' && message.of === 'gate');
+		if (isOfChange) {
+			this.#cancel(phase, now);
+		} else if (phase.kind === 'cancelling' || phase.kind === 'joining') {
+			this.#beginSettling(now);
+		}
+	}
+
+	#onState(from: string, message: MapMessageOf<'map-state'>, now: number): void {
+		const phase = this.#phase;
+		if (phase.kind !== 'asking' || from !== this.#options.id || message.round !== this.#views.round || message.state === undefined) {
+			return;
+		}
+
+		const {plan, epoch, members} = phase;
+		if (message.state.epoch === epoch) {
+			const step = message.state.step + (this.#options.marginSteps ?? 10);
+			this.#begin({
+				kind: 'gating', plan, epoch, members, step, since: now, sentAt: now, done: new Set(),
+			}, now);
+		} else {
+			this.#cancel(phase, now);
+		}
+	}
+
+	#beginSettling(now: number): void {
+		this.#phase = {kind: 'settling'};
+		this.#query(now);
+	}
+
+	/** Finds out from all engines of the epoch whether the planned map is in force, and records or undoes it. */
+	#settle(now: number): void {
+		if (mainEpoch(this.#views.recent(now)) === undefined) {
+			this.#beginJoin(now);
+			return;
+		}
+
+		const states = this.#views.answers;
+		const main = mainEpoch(states);
+		const {installed, planned} = this.#record;
+		const version = main === undefined ? undefined : settledVersion(main, states);
+		if (main === undefined || version === undefined) {
+			return;
+		}
+
+		if (planned !== undefined && version !== planned.version) {
+			// An engine that has left the epoch drops the version when it joins again.
+			const members = main.members.filter(id => states.get(id)?.epoch === main.epoch);
+			this.#cancel({plan: planned, epoch: main.epoch, members}, now);
+		} else if (planned !== undefined) {
+			this.#save({installed: planned}, now);
+		} else if (version === installed.version) {
+			this.#phase = {kind: 'idle'};
+		}
+	}
+
+	/** Lets endpoints outside the epoch load the map in force, if there are any. */
+	#beginJoin(now: number): void {
+		const states = this.#views.recent(now);
+		const join = planJoin(this.#options.id, this.#views.ids, states);
+		if (join === undefined) {
+			return;
+		}
+
+		const epoch = nextEpoch([...states.values()].map(state => state.epoch), this.#options.random);
+		this.#begin({
+			kind: 'joining', plan: this.#record.installed, epoch, members: join.joiners, invitation: join.invitation, since: now, sentAt: now, done: new Set(),
+		}, now);
+	}
+
+	#invite(phase: Extract<LeaderPhase, {readonly kind: 'inviting'}>, now: number): void {
+		const {invitation, version, epoch} = phase;
+		const states = this.#views.recent(now);
+		const isFormed = invitation.members.every(id => states.get(id)?.epoch === epoch);
+		if (isFormed || now - phase.since >= GO_LIMIT_MS) {
+			this.#beginSettling(now);
+		} else if (now - phase.sentAt >= RESEND_MS) {
+			this.#phase = {...phase, sentAt: now};
+			const {members, base, initiator, step} = invitation;
+			this.#send(initiator, {
+				...this.#header({version, step, epoch}), kind: 'map-reform', members, base, initiator,
+			});
+		}
+	}
+
+	#save(value: MapRecord, now: number, next?: Round): void {
+		this.#recordId += 1;
+		this.#phase = {
+			kind: 'recording', id: this.#recordId, value, sentAt: now, ...(next === undefined ? {} : {next}),
+		};
+		this.#effects.push({kind: 'record', id: this.#recordId, record: value});
+	}
+
+	#query(now: number): void {
+		const round = this.#views.startRound(now);
+		for (const id of this.#views.ids) {
+			this.#send(id, {...this.#header({version: 0, step: 0, epoch: 0}), kind: 'map-query', round});
+		}
+	}
+
+	#header(subject: Subject) {
+		return {...subject, group: this.#options.group, fence: this.#options.fence};
+	}
+
+	#send(to: string, message: MapMessage): void {
+		this.#effects.push({kind: 'send', to, message});
+	}
+}
