--- /dev/null
+++ b/packages/cli/src/admin-schema.ts
@@ -0,0 +1,115 @@
+/** Shapes of the entry's admin routes `GET /admin/status` and `POST /admin/explain`. */
+import {z} from 'zod';
+
+const count = z.number().nonnegative();
+
+/** What a machine last reported about its work. */
+export const machineLoadSchema = z.object({
+	queuedTokens: count,
+	/** Requests that run now. */
+	running: count,
+	tokensPerSecond: count,
+});
+
+/** One machine as the entry sees it. What the entry does not know is left out. */
+export const machineStatusSchema = z.object({
+	id: z.string(),
+	zone: z.string(),
+	region: z.string(),
+	role: z.enum(['entry', 'endpoint']),
+	/** Group of ranks of a model endpoint. */
+	group: z.string().optional(),
+	/** `suspected`: no report or heartbeat lately. `closed`: closed by a rule. */
+	state: z.enum(['live', 'suspected', 'leaving', 'closed']),
+	rulesVersion: z.number().int().nonnegative().optional(),
+	load: machineLoadSchema.optional(),
+	/** Duration of the last steps in milliseconds. */
+	stepMs: count.optional(),
+	/** Version of the expert map in force. */
+	mapVersion: z.number().int().nonnegative().optional(),
+	ranks: z.array(z.number().int().nonnegative()).optional(),
+});
+
+/** Answer of `GET /admin/status`. */
+export const statusSchema = z.object({
+	/** The entry that answers. */
+	process: z.object({
+		id: z.string(),
+		zone: z.string(),
+		region: z.string(),
+		/** Version of the program. */
+		version: z.string(),
+		uptimeMs: count,
+	}),
+	rules: z.object({
+		/** 0 when there are no rules yet. */
+		version: z.number().int().nonnegative(),
+		/** Milliseconds since the version was confirmed as the highest; left out if it never was. */
+		ageMs: count.optional(),
+	}),
+	platform: z.object({
+		reachable: z.boolean(),
+		/** Milliseconds since its last answer to this process; left out without one. */
+		lastAnswerAgeMs: count.optional(),
+	}),
+	machines: z.array(machineStatusSchema),
+	/** Targets that `closed` rules keep closed. */
+	drains: z.array(z.object({
+		target: z.object({kind: z.enum(['endpoint', 'group', 'zone']), name: z.string()}),
+		author: z.string(),
+		reason: z.string(),
+		/** Requests in progress on the target as last reported; left out when nothing is known. */
+		running: count.optional(),
+	})),
+});
+
+/** Body of `POST /admin/explain`. */
+export const explainRequestSchema = z.object({
+	workspace: z.string(),
+	/** `NAME`, `NAME@VERSION`, `NAME:ADAPTER` or `NAME@VERSION:ADAPTER`. */
+	model: z.string(),
+	/** Prompt whose cached prefix counts; may be empty. */
+	prompt: z.string(),
+});
+
+/** One endpoint that was considered. Times are in milliseconds. */
+export const candidateSchema = z.object({
+	id: z.string(),
+	zone: z.string(),
+	/** Why it takes no part, for example `closed` or `leaving`; left out when it takes part. */
+	excluded: z.string().optional(),
+	/** Queue and own work since the last report, divided by its rate. */
+	waitMs: count,
+	prefillTokens: count,
+	/** Prompt tokens that its cache is expected to hold. */
+	cachedTokens: count,
+	zoneDistanceMs: count,
+	/** 1 for an endpoint that keeps pace. */
+	stragglerFactor: count,
+	costMs: count,
+	isPrefixHome: z.boolean(),
+	isChosen: z.boolean(),
+});
+
+/** Answer of `POST /admin/explain`: what would happen to such a request now. Nothing is run. */
+export const explainSchema = z.object({
+	workspace: z.string(),
+	model: z.string(),
+	rulesVersion: z.number().int().nonnegative(),
+	/** Refusal reason of section 3.2 with a text for people; left out when the request would run. */
+	refusal: z.object({code: z.string(), message: z.string()}).optional(),
+	/** 0 to 9; a higher one is served first. */
+	priority: z.number().int().optional(),
+	/** The workspace's share now; left out without a limit. */
+	grant: z.object({tokensPerSecond: count, availableTokens: z.number()}).optional(),
+	promptTokens: count,
+	candidates: z.array(candidateSchema),
+	/** Further steps of the decision, one sentence each. */
+	notes: z.array(z.string()),
+});
+
+export type MachineStatus = Readonly<z.infer<typeof machineStatusSchema>>;
+export type Status = Readonly<z.infer<typeof statusSchema>>;
+export type ExplainRequest = Readonly<z.infer<typeof explainRequestSchema>>;
+export type Candidate = Readonly<z.infer<typeof candidateSchema>>;
+export type Explain = Readonly<z.infer<typeof explainSchema>>;
