--- /dev/null
+++ b/packages/daemon/src/bin.ts
@@ -0,0 +1,72 @@
+#!/usr/bin/env node
+/** `mimosamountd SETTINGS-FILE`: runs one daemon; its role is in its settings. */
+import {readFileSync} from 'node:fs';
+import process from 'node:process';
+import {parseArgs} from 'node:util';
+import {formatFinding} from '#core';
+import {registerSignals, startDaemon} from '#daemon';
+import {readSettings} from '#settings';
+
+const USAGE = `Usage: mimosamountd SETTINGS-FILE
+
+Runs one daemon of the load balancer. The settings name its role: entry or endpoint.
+
+Options:
+  --help     show this text
+  --version  show the version
+
+Exit codes: 0 stopped after finishing all work, 1 failed, 2 wrong usage or settings.
+`;
+
+const USAGE_EXIT = 2;
+
+function readVersion(): string {
+	const text = readFileSync(new URL('../../../package.json', import.meta.url), 'utf8');
+	return (JSON.parse(text) as {readonly version: string}).version;
+}
+
+function failUsage(message: string): void {
+	process.stderr.write(`mimosamountd: ${message}\n`);
+	process.exitCode = USAGE_EXIT;
+}
+
+async function run(file: string): Promise<void> {
+	let text: string;
+	try {
+		text = readFileSync(file, 'utf8');
+	} catch (error) {
+		failUsage(error instanceof Error ? error.message : `${file} cannot be read`);
+		return;
+	}
+
+	const settings = readSettings(text, file);
+	if (settings.kind === 'failed') {
+		for (const finding of settings.failure) {
+			process.stderr.write(`${formatFinding(finding)}\n`);
+		}
+
+		failUsage(`${settings.failure.length} findings; not started`);
+		return;
+	}
+
+	const daemon = await startDaemon(settings.value);
+	registerSignals(daemon);
+	process.stdout.write(`${JSON.stringify({ready: true, callerPort: daemon.callerPort, peerPort: daemon.peerPort})}\n`);
+}
+
+try {
+	const {values, positionals} = parseArgs({allowPositionals: true, options: {help: {type: 'boolean'}, version: {type: 'boolean'}}});
+	const [file] = positionals;
+	if (values.help) {
+		process.stdout.write(USAGE);
+	} else if (values.version) {
+		process.stdout.write(`${readVersion()}\n`);
+	} else if (file === undefined || positionals.length > 1) {
+		failUsage('one settings file is needed; see --help');
+	} else {
+		await run(file);
+	}
+} catch (error) {
+	process.stderr.write(`mimosamountd: ${error instanceof Error ? error.message : String(error)}\n`);
+	process.exitCode = error instanceof TypeError ? USAGE_EXIT : 1;
+}
--- /dev/null
+++ b/packages/endpoint/src/index.ts
@@ -0,0 +1,2 @@
+/** Public index: the endpoint role. */
+export {Endpoint, type EndpointOptions} from './endpoint.js';
--- /dev/null
+++ b/packages/entry/src/model-request.ts
@@ -0,0 +1,368 @@
+/**
+ * One inference request from its first attempt to its answer. Requests to a model are
+ * idempotent: an attempt that was lost is resumed or run again elsewhere, within the
+ * deadline and the retry budget.
+ */
+import {type Answer} from './answer.js';
+import {Attempt, type AttemptEnd} from './attempt.js';
+import {type AttemptTable} from './attempt-table.js';
+import {type Fleet} from './fleet.js';
+import {type Inference} from './inference.js';
+import {
+	refuse, type Outcome, type Refusal, type RefusalReason, type RetryReason,
+} from './refusal.js';
+import {type RetryBudget} from '#coordination';
+import {admit} from '#limits';
+import {type Peering} from '#peering';
+import {type MessageOf, type PeerLink} from '#protocol';
+import {type PrefixMemory, type Replica, type RouteRequest} from '#routing';
+import {type WorkspaceRule} from '#rules';
+import {type Logger, type Metrics} from '#telemetry';
+
+/** An endpoint that has not accepted work within this time is taken for dead or paused. */
+const ACCEPT_LIMIT_MS = 3000;
+
+/** A stream without a byte for this time is taken for lost; engines make a token each 67 ms or less. */
+const STALL_LIMIT_MS = 10_000;
+
+/** More attempts than this only add load. */
+const MAX_ATTEMPTS = 6;
+
+/** What all requests of one entry share. */
+export type RequestContext = {
+	readonly peering: Peering;
+	readonly fleet: Fleet;
+	readonly attempts: AttemptTable;
+	readonly prefixes: PrefixMemory;
+	readonly budget: RetryBudget;
+	readonly metrics: Metrics;
+	readonly log: Logger;
+};
+
+export type ModelRequestOptions = {
+	readonly requestId: string;
+	readonly workspace: WorkspaceRule;
+	readonly inference: Inference;
+	/** Model with version and adapter as replicas offer it. */
+	readonly model: string;
+	readonly path: string;
+	readonly headers: Readonly<Record<string, string>>;
+	readonly body: Uint8Array;
+	/** When the first byte is due, ms since the epoch. */
+	readonly deadline: number;
+	readonly answer: Answer;
+	/** Aborted when the caller hangs up. */
+	readonly signal: AbortSignal;
+};
+
+/** How a request ended. */
+export type RequestEnd
+	= | {readonly kind: 'done'}
+		| {readonly kind: 'abandoned'}
+		| Refusal;
+
+/** What follows an attempt that did not finish the request. */
+type Next
+	= | {readonly kind: 'retry'; readonly reason: RetryReason; readonly exclude: boolean}
+		| {readonly kind: 'stop'; readonly refusal: Refusal};
+
+export class ModelRequest {
+	static create(context: RequestContext, options: ModelRequestOptions): ModelRequest {
+		return new ModelRequest(context, options);
+	}
+
+	readonly #context: RequestContext;
+	readonly #options: ModelRequestOptions;
+	readonly #excluded = new Set<string>();
+	#attempt: Attempt | undefined;
+	#attempts = 0;
+	/** `unknown` once any attempt may have run. */
+	#outcome: Outcome = 'not-run';
+
+	private constructor(context: RequestContext, options: ModelRequestOptions) {
+		this.#context = context;
+		this.#options = options;
+	}
+
+	/** Notes that bytes up to an offset left for the caller. */
+	delivered(offset: number): void {
+		this.#attempt?.delivered(offset);
+	}
+
+	/** Runs the request to its end. Does not throw. */
+	async run(): Promise<RequestEnd> {
+		const {signal} = this.#options;
+		const onHangUp = () => {
+			this.#attempt?.cancel();
+		};
+
+		signal.addEventListener('abort', onHangUp, {once: true});
+		try {
+			return await this.#run();
+		} finally {
+			signal.removeEventListener('abort', onHangUp);
+		}
+	}
+
+	async #run(): Promise<RequestEnd> {
+		const {signal, answer} = this.#options;
+		while (!signal.aborted) {
+			const choice = this.#choose();
+			if (choice.kind === 'refusal') {
+				return this.#settle(choice);
+			}
+
+			const chosen = choice.replica;
+			const end = await this.#try(chosen);
+			if (end.kind === 'done') {
+				answer.finish();
+				return {kind: 'done'};
+			}
+
+			const next = this.#next(end, chosen);
+			if (next.kind === 'stop') {
+				return this.#settle(next.refusal);
+			}
+
+			this.#context.metrics.count('retries', next.reason);
+			this.#context.log.info('attempt did not finish the request', {
+				requestId: this.#options.requestId, endpoint: chosen.id, reason: next.reason, attempt: this.#attempts,
+			});
+			if (next.exclude) {
+				this.#excluded.add(chosen.id);
+			}
+
+			const stop = this.#mayRetry(next.reason);
+			if (stop !== undefined) {
+				return this.#settle(stop);
+			}
+		}
+
+		return {kind: 'abandoned'};
+	}
+
+	/** A refusal is `not-run` only if no attempt can have run; a stream that was begun is lost. */
+	#settle(refusal: Refusal): Refusal {
+		if (this.#options.answer.streaming) {
+			return refuse('stream-lost', 'unknown', `the stream was lost and could not be continued: ${refusal.message}`);
+		}
+
+		return this.#outcome === 'unknown' ? {...refusal, outcome: 'unknown'} : refusal;
+	}
+
+	/** Undefined if another attempt may be made. */
+	#mayRetry(reason: RetryReason): Refusal | undefined {
+		const now = Date.now();
+		if (this.#attempts >= MAX_ATTEMPTS) {
+			return refuse('no-endpoint', 'not-run', `no endpoint finished the request in ${MAX_ATTEMPTS} attempts; the last ended with ${reason}`);
+		}
+
+		if (now >= this.#options.deadline && !this.#options.answer.streaming) {
+			return refuse('deadline', 'not-run', 'the deadline passed before an endpoint answered');
+		}
+
+		if (!this.#context.budget.takeRetry(now)) {
+			return refuse('retry-budget', 'not-run', `the entry's retry budget is spent; the last attempt ended with ${reason}`, 1);
+		}
+
+		return undefined;
+	}
+
+	#routeRequest(): RouteRequest {
+		const {inference, model} = this.#options;
+		const {machine} = this.#context.peering;
+		return {
+			model,
+			zone: machine.zone,
+			region: machine.region,
+			inputTokens: inference.inputTokens,
+			outputTokens: inference.outputTokens,
+			prefixes: inference.prefixes,
+			known: this.#context.prefixes.lookup(inference.prefixes, Date.now()),
+			excluded: this.#excluded,
+		};
+	}
+
+	#choose(): {readonly kind: 'replica'; readonly replica: Replica} | Refusal {
+		const choice = this.#context.fleet.choose(this.#routeRequest());
+		if (choice.kind === 'none') {
+			return refuse(choice.reason, 'not-run', `no endpoint takes work for ${this.#options.model}`, 1);
+		}
+
+		const admission = admit({waitMs: choice.expectedWaitMs, errorFactor: 1}, this.#options.deadline, Date.now());
+		if (admission.kind === 'refused' && !this.#options.answer.streaming) {
+			return refuse(admission.reason, 'not-run', 'the request cannot meet its deadline', admission.retryAfterMs / 1000);
+		}
+
+		return {kind: 'replica', replica: choice.replica};
+	}
+
+	async #try(replica: Replica): Promise<AttemptEnd> {
+		const {peering, fleet, attempts, metrics} = this.#context;
+		const {inference} = this.#options;
+		this.#attempts += 1;
+		let link: PeerLink;
+		try {
+			link = await peering.linkTo(replica.id);
+		} catch {
+			return {kind: 'not-sent'};
+		}
+
+		const startedAt = performance.now();
+		const finished = fleet.dispatch(replica.id, inference);
+		const attempt = this.#createAttempt(link, replica);
+		this.#attempt = attempt;
+		const forget = attempts.add(attempt);
+		attempt.start();
+		try {
+			return await attempt.ended();
+		} finally {
+			forget();
+			finished();
+			metrics.record('attempt', performance.now() - startedAt);
+		}
+	}
+
+	#createAttempt(link: PeerLink, replica: Replica): Attempt {
+		const {fleet, prefixes, metrics} = this.#context;
+		const {answer, inference, signal} = this.#options;
+		const known = prefixes.lookup(inference.prefixes, Date.now());
+		prefixes.dispatched(inference.prefixes, replica.id, Date.now());
+		const attempt = Attempt.create({
+			link,
+			work: this.#work(),
+			sink: {
+				onAccepted({cachedTokens}) {
+					prefixes.accepted(inference.prefixes, known, replica.id, cachedTokens);
+				},
+				onHead(status, headers) {
+					answer.begin({status, headers});
+				},
+				onData(data) {
+					answer.add(data);
+				},
+				onLoad(load) {
+					fleet.noteLoad(replica.id, load);
+				},
+			},
+			dropped(reason) {
+				metrics.count('framesDropped', reason);
+			},
+			acceptLimitMs: ACCEPT_LIMIT_MS,
+			stallLimitMs: STALL_LIMIT_MS,
+		});
+		if (signal.aborted) {
+			attempt.cancel();
+		}
+
+		return attempt;
+	}
+
+	#work(): MessageOf<'work'> {
+		const {requestId, workspace, inference, path, headers, body, deadline, answer} = this.#options;
+		return {
+			kind: 'work',
+			requestId,
+			attempt: this.#attempts,
+			workspace: workspace.name,
+			priority: workspace.priority,
+			weight: workspace.weight,
+			deadlineMs: answer.streaming ? Number.MAX_SAFE_INTEGER : Math.max(0, deadline - Date.now()),
+			solo: 'shared',
+			fingerprint: inference.fingerprint,
+			target: 'model',
+			once: false,
+			method: 'POST',
+			path,
+			headers,
+			body,
+			resumeOffset: answer.committedBytes,
+			prefixHash: answer.committedHash,
+			tokens: inference.inputTokens + inference.outputTokens,
+		};
+	}
+
+	#next(end: Exclude<AttemptEnd, {kind: 'done'}>, replica: Replica): Next {
+		const {fleet, prefixes} = this.#context;
+		const {inference} = this.#options;
+		switch (end.kind) {
+			case 'refused': {
+				this.#noteOutcome(end.outcome);
+				fleet.update((table, now) => table.withRefusal(replica.id, end.reason === 'leaving' || end.reason === 'endpoint-full' ? end.reason : 'other', now));
+				prefixes.notRun(inference.prefixes, replica.id);
+				return {kind: 'retry', reason: refusalToRetry(end.reason), exclude: true};
+			}
+
+			case 'not-sent': {
+				return {kind: 'retry', reason: 'link-down-before-send', exclude: true};
+			}
+
+			case 'failed': {
+				this.#noteOutcome(end.outcome);
+				return this.#afterFailure(end);
+			}
+
+			case 'link-lost': {
+				this.#outcome = 'unknown';
+				// The endpoint process may be replaced beside an engine that still holds the stream.
+				return {kind: 'retry', reason: 'link-lost', exclude: !this.#options.answer.streaming};
+			}
+
+			case 'silent': {
+				this.#outcome = 'unknown';
+				return {kind: 'retry', reason: end.accepted ? 'stalled' : 'no-answer', exclude: true};
+			}
+
+			case 'corrupt': {
+				this.#outcome = 'unknown';
+				return {kind: 'stop', refusal: refuse('stream-lost', 'unknown', 'the answer that arrived is not the answer that was sent')};
+			}
+
+			case 'cancelled': {
+				return {kind: 'stop', refusal: refuse('stream-lost', 'unknown', 'the caller hung up')};
+			}
+		}
+	}
+
+	#noteOutcome(outcome: Outcome): void {
+		if (outcome === 'unknown') {
+			this.#outcome = 'unknown';
+		}
+	}
+
+	#afterFailure(end: Extract<AttemptEnd, {kind: 'failed'}>): Next {
+		if (end.reason === 'engine-refused') {
+			return {kind: 'retry', reason: 'engine-refused', exclude: true};
+		}
+
+		if (end.crashed || end.reason === 'backend-error') {
+			return {kind: 'retry', reason: 'engine-crashed', exclude: true};
+		}
+
+		return {kind: 'stop', refusal: refuse(end.reason === 'stream-lost' ? 'stream-lost' : 'backend-error', end.outcome, `the endpoint could not finish the request: ${end.reason}`)};
+	}
+}
+
+function refusalToRetry(reason: string): RetryReason {
+	return reason === 'leaving' || reason === 'endpoint-full' ? reason : 'engine-refused';
+}
+
+/** Reasons of the endpoint that are told to the caller as they are. */
+export function toRefusalReason(reason: string): RefusalReason {
+	switch (reason) {
+		case 'leaving':
+		case 'deadline':
+		case 'no-endpoint':
+		case 'quarantined': {
+			return reason;
+		}
+
+		case 'endpoint-full': {
+			return 'overloaded';
+		}
+
+		default: {
+			return 'backend-error';
+		}
+	}
+}
--- /dev/null
+++ b/packages/harness/src/index.ts
@@ -0,0 +1,6 @@
+/** Public index: real processes for tests, the demo and benchmarks. Development only. */
+export {Child} from './child.js';
+export {
+	keyHash, OPERATOR_KEY, PLATFORM_KEY, SHARED_KEY, TestFleet, type EndpointNode, type EngineOptions, type EntryNode, type Place, type ServiceOptions,
+} from './test-fleet.js';
+export {waitUntil} from './wait.js';
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,18 @@
+/** Public index of the settings. */
+export {
+	logLevels,
+	settingsDefaults,
+	type Address,
+	type Backend,
+	type CommonSettings,
+	type EndpointSettings,
+	type EntrySettings,
+	type KeySource,
+	type LogLevel,
+	type Settings,
+} from './model.js';
+export {Secret} from './secret.js';
+export {maxSettingsBytes, readSettings} from './read.js';
+export {formatAddress, formatSettings} from './format.js';
+export {resolveKey, resolveKeys, type Keys} from './resolve-keys.js';
+export {minKeyBytes} from './values.js';
