Queue work fairly at the endpoint and gate suspects

Cause: the endpoint gave everything to the engine at once, whatever its step time. Ruled out: handing queued work back when an endpoint starts to leave, which would cost the caller a second queue; it is finished instead.

--- a/packages/cli/src/drain-commands.ts
+++ b/packages/cli/src/drain-commands.ts
@@ -146,7 +146,7 @@
 
 	const now = context.now();
 	const instances = target.kind === 'endpoint' ? await platform.listInstances() : undefined;
-	const instance = instances?.kind === 'ok' ? instances.value.find(({id}) => id === target.name) : undefined;
+	const instance = instances?.kind === 'ok' ? instances.value.items.find(({id}) => id === target.name) : undefined;
 	const state = instance === undefined
 		? targetState(parsed.value, target, now)
 		: endpointState(parsed.value, {id: instance.id, zone: instance.zone, ...(instance.group === undefined ? {} : {group: instance.group})}, now);
@@ -159,7 +159,7 @@
 async function warnUnknownTarget(context: CliContext, platform: PlatformClient, target: Target): Promise<void> {
 	const instances = await platform.listInstances();
 	const names = instances.kind === 'ok'
-		? instances.value.flatMap(instance => ({endpoint: instance.id, zone: instance.zone, group: instance.group})[target.kind] ?? [])
+		? instances.value.items.flatMap(instance => ({endpoint: instance.id, zone: instance.zone, group: instance.group})[target.kind] ?? [])
 		: [target.name];
 	if (!names.includes(target.name)) {
 		context.tell(`rules: note: the platform's list of instances has no ${targetKey(target)}; the list lags\n`);
--- a/packages/endpoint/src/crash-window.ts
+++ b/packages/endpoint/src/crash-window.ts
@@ -3,54 +3,68 @@
  * of the whole batch at nearly the same time.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
+import {type CrashedBatch} from '#quarantine';
 
 /** Connections that break within this time belong to the same event. */
 const WINDOW_MS = 50;
 
 /** What the loss of a run turned out to be. */
-export type Loss = {
-	readonly crashed: boolean;
-	/** Fingerprints of all requests of the batch that was lost. */
-	readonly fingerprints: readonly string[];
+export type Loss
+	/** The id is the same for all requests of the batch; `alone` if the batch was one request that ran alone. */
+	= | {readonly kind: 'crash'; readonly crashId: string; readonly alone: boolean}
+		| {readonly kind: 'connection'};
+
+export type CrashWindowOptions = {
+	/** Reads the keys of the runs that are active now. */
+	readonly active: () => ReadonlySet<string>;
+	/** Called once for each crash. */
+	readonly onCrash: () => CrashedBatch;
+	/** Beginning of the crash ids, unique for this process. */
+	readonly prefix: string;
 };
 
 export class CrashWindow {
-	/** @param active - Reads the fingerprints of the runs that are active now. */
-	static create(active: () => ReadonlyMap<string, string>): CrashWindow {
-		return new CrashWindow(active);
+	static create(options: CrashWindowOptions): CrashWindow {
+		return new CrashWindow(options);
 	}
 
-	readonly #active: () => ReadonlyMap<string, string>;
-	#lost = new Map<string, string>();
-	#before = new Map<string, string>();
+	readonly #options: CrashWindowOptions;
+	#lost = new Set<string>();
+	#before: ReadonlySet<string> = new Set();
 	#verdict: Promise<Loss> | undefined;
+	#crashes = 0;
 
-	private constructor(active: () => ReadonlyMap<string, string>) {
-		this.#active = active;
+	private constructor(options: CrashWindowOptions) {
+		this.#options = options;
 	}
 
 	/**
-	 * Notes that a run lost its connection.
+	 * Notes that a run lost its connection; the set of active runs must still hold it.
 	 *
-	 * @param key - Key of the run in the map of active runs, which must still hold it.
 	 * @returns What the loss was, once the window closed.
 	 */
-	async lost(key: string, fingerprint: string): Promise<Loss> {
+	async lost(key: string): Promise<Loss> {
 		if (this.#verdict === undefined) {
-			this.#before = new Map(this.#active());
-			this.#lost = new Map();
+			this.#before = this.#options.active();
+			this.#lost = new Set();
 			this.#verdict = this.#decide();
 		}
 
-		this.#lost.set(key, fingerprint);
+		this.#lost.add(key);
 		return this.#verdict;
 	}
 
 	async #decide(): Promise<Loss> {
 		await sleep(WINDOW_MS);
 		this.#verdict = undefined;
-		const stillActive = this.#active();
-		const survivors = [...this.#before.keys()].filter(key => !this.#lost.has(key) && stillActive.has(key));
-		return {crashed: survivors.length === 0, fingerprints: [...new Set(this.#lost.values())]};
+		const active = this.#options.active();
+		const survived = [...this.#before].some(key => !this.#lost.has(key) && active.has(key));
+		if (survived) {
+			return {kind: 'connection'};
+		}
+
+		const {alone} = this.#options.onCrash();
+		this.#crashes += 1;
+		return {kind: 'crash', crashId: `${this.#options.prefix}/${this.#crashes}`, alone};
 	}
 }
--- a/packages/endpoint/src/endpoint.ts
+++ b/packages/endpoint/src/endpoint.ts
@@ -5,6 +5,7 @@
 import {once} from 'node:events';
 import {setInterval} from 'node:timers/promises';
 import {CrashWindow} from './crash-window.js';
+import {Intake, type Job} from './intake.js';
 import {LoadMonitor} from './load-monitor.js';
 import {WorkRun, type RunEnd, type RunSource} from './work-run.js';
 import {mergeTeardowns, type Teardown} from '#core';
@@ -31,8 +32,6 @@
 	readonly signal: AbortSignal;
 };
 
-type Refusal = {readonly reason: string; readonly outcome: 'not-run' | 'unknown'};
-
 function keyOf(work: {readonly requestId: string; readonly attempt: number}, link: PeerLink): string {
 	return `${link.peer.id} ${work.requestId} ${work.attempt}`;
 }
@@ -50,6 +49,7 @@
 	readonly #runs = new Map<string, WorkRun>();
 	readonly #seen = new Set<string>();
 	readonly #subscribers = new Set<PeerLink>();
+	readonly #intake: Intake;
 	readonly #crashes: CrashWindow;
 	readonly #idle = new EventTarget();
 	#draining = false;
@@ -61,8 +61,28 @@
 		const {settings, peering, signal} = options;
 		this.#engine = settings.backend.kind === 'model' ? EngineClient.create(settings.backendUrl) : undefined;
 		this.#service = settings.backend.kind === 'service' ? ServiceClient.create(settings.backendUrl) : undefined;
-		this.#monitor = LoadMonitor.create(this.#engine, () => this.#localLoad(), signal);
-		this.#crashes = CrashWindow.create(() => new Map([...this.#runs].map(([key, run]) => [key, run.work.fingerprint])));
+		this.#monitor = LoadMonitor.create({
+			engine: this.#engine,
+			local: () => this.#localLoad(),
+			onLoad: load => {
+				this.#intake.sample({stepMs: load.stepMs, running: load.running}, Date.now());
+			},
+			signal,
+		});
+		this.#intake = Intake.create({
+			start: job => {
+				void this.#run(job);
+			},
+			refuse: (job, reason) => {
+				this.#refuse(job, reason);
+			},
+			bounded: settings.backend.kind === 'model',
+		});
+		this.#crashes = CrashWindow.create({
+			active: () => new Set(this.#runs.keys()),
+			onCrash: () => this.#intake.crashed(Date.now()),
+			prefix: `${settings.id}/${peering.incarnation}`,
+		});
 		this.#teardown = mergeTeardowns(
 			peering.pool.registerLinkListener(link => {
 				this.#onLink(link);
@@ -79,9 +99,9 @@
 		return this.#engine;
 	}
 
-	/** Requests in progress. */
+	/** Requests that wait or run. */
 	get running(): number {
-		return this.#runs.size;
+		return this.#intake.size;
 	}
 
 	/** True while this endpoint takes no new work, by rule or because it stops. */
@@ -114,7 +134,7 @@
 	}
 
 	#localLoad(): {readonly queuedTokens: number; readonly running: number; readonly leaving: boolean} {
-		return {queuedTokens: 0, running: this.#runs.size, leaving: this.leaving};
+		return {queuedTokens: this.#intake.queuedTokens, running: this.#runs.size, leaving: this.leaving};
 	}
 
 	#onLink(link: PeerLink): void {
@@ -123,7 +143,7 @@
 		}
 
 		link.registerMessage('work', work => {
-			void this.#take(link, work);
+			this.#take(link, work);
 		});
 		link.registerMessage('cancel', ({requestId, attempt}) => {
 			this.#cancel(link, requestId, attempt);
@@ -144,6 +164,11 @@
 	#cancel(link: PeerLink, requestId: string, attempt: number): void {
 		const key = keyOf({requestId, attempt}, link);
 		const run = this.#runs.get(key);
+		if (run === undefined && this.#intake.remove(key, Date.now()) !== undefined) {
+			this.#checkIdle();
+			return;
+		}
+
 		if (run === undefined) {
 			// The cancel overtook nothing: links keep their order, so the work has ended or never came.
 			this.#options.metrics.count('framesDropped', 'cancel-of-unknown');
@@ -154,51 +179,71 @@
 	}
 
 	/** Reason for which work is refused now, if any. Nothing has been sent to the back end at this point. */
-	#refusalOf(work: MessageOf<'work'>): Refusal | undefined {
-		const refuse = (reason: string): Refusal => ({reason, outcome: 'not-run'});
+	#refusalOf(work: MessageOf<'work'>): string | undefined {
 		if (this.leaving) {
-			return refuse('leaving');
+			return 'leaving';
 		}
 
 		const wanted = work.target === 'model' ? this.#engine : this.#service;
-		if (wanted === undefined) {
-			return refuse('no-endpoint');
-		}
-
-		if (work.deadlineMs <= 0) {
-			return refuse('deadline');
-		}
-
-		return undefined;
+		return wanted === undefined ? 'no-endpoint' : undefined;
 	}
 
-	async #take(link: PeerLink, work: MessageOf<'work'>): Promise<void> {
-		const {metrics} = this.#options;
-		const key = keyOf(work, link);
-		if (this.#seen.has(key)) {
-			metrics.count('framesDropped', 'duplicate-work');
+	#take(link: PeerLink, work: MessageOf<'work'>): void {
+		const id = keyOf(work, link);
+		if (this.#seen.has(id)) {
+			this.#options.metrics.count('framesDropped', 'duplicate-work');
 			return;
 		}
 
-		this.#remember(key);
-		const {requestId, attempt} = work;
+		this.#remember(id);
+		const now = Date.now();
+		const job: Job = {
+			id, link, work, workspace: work.workspace, weight: work.weight, priority: work.priority, tokens: work.tokens, deadline: now + work.deadlineMs,
+		};
 		const refusal = this.#refusalOf(work);
 		if (refusal !== undefined) {
-			metrics.count('endpointRefusals', refusal.reason);
+			this.#refuse(job, refusal);
+			return;
+		}
+
+		if (this.#intake.offer(job, now)) {
+			const {requestId, attempt} = work;
 			link.send({
-				kind: 'refused', requestId, attempt, ...refusal, load: this.#load(),
+				kind: 'accepted', requestId, attempt, cachedTokens: 0, load: this.#load(),
 			});
-			return;
+			this.#intake.pump(now);
 		}
+	}
 
-		const run = WorkRun.create(link, work, this.#sourceOf(work));
-		this.#runs.set(key, run);
-		metrics.count('requests', work.target);
-		link.send({
-			kind: 'accepted', requestId, attempt, cachedTokens: 0, load: this.#load(),
+	/** Tells the entry that the work did not run. */
+	#refuse(job: Job, reason: string): void {
+		const {requestId, attempt} = job.work;
+		this.#options.metrics.count('endpointRefusals', reason);
+		job.link.send({
+			kind: 'refused', requestId, attempt, reason, outcome: 'not-run', load: this.#load(),
 		});
+		this.#checkIdle();
+	}
+
+	async #run(job: Job): Promise<void> {
+		const {link, work, id} = job;
+		const run = WorkRun.create(link, work, this.#sourceOf(work));
+		this.#runs.set(id, run);
+		this.#options.metrics.count('requests', work.target);
 		const end = await run.run();
-		await this.#finish(key, run, end);
+		try {
+			await this.#tellEnd(id, run, end);
+		} finally {
+			this.#runs.delete(id);
+			this.#intake.finished(id, Date.now());
+			this.#checkIdle();
+		}
+	}
+
+	#checkIdle(): void {
+		if (this.running === 0) {
+			this.#idle.dispatchEvent(new Event('idle'));
+		}
 	}
 
 	#remember(key: string): void {
@@ -234,23 +279,12 @@
 		};
 	}
 
-	async #finish(key: string, run: WorkRun, end: RunEnd): Promise<void> {
-		try {
-			await this.#tellEnd(key, run, end);
-		} finally {
-			this.#runs.delete(key);
-			if (this.#runs.size === 0) {
-				this.#idle.dispatchEvent(new Event('idle'));
-			}
-		}
-	}
-
 	async #tellEnd(key: string, run: WorkRun, end: RunEnd): Promise<void> {
 		const {work, link} = run;
 		const {requestId, attempt} = work;
 		const fail = (reason: string, outcome: 'not-run' | 'unknown') => {
 			link.send({
-				kind: 'failed', requestId, attempt, reason, outcome, crashed: false, fingerprints: [],
+				kind: 'failed', requestId, attempt, reason, outcome, crashId: '', alone: false,
 			});
 		};
 
@@ -291,18 +325,18 @@
 
 	async #tellLost(key: string, run: WorkRun): Promise<void> {
 		const {work, link} = run;
-		const loss = await this.#crashes.lost(key, work.fingerprint);
-		const crashed = loss.crashed && work.target === 'model';
+		const loss = await this.#crashes.lost(key);
+		const crashed = loss.kind === 'crash' && work.target === 'model';
 		this.#options.metrics.count('crashes', crashed ? 'engine' : 'connection');
-		this.#log.warn('back end lost a request', {requestId: work.requestId, crashed, batch: loss.fingerprints.length});
+		this.#log.warn('back end lost a request', {requestId: work.requestId, crashed, ...(crashed ? {crashId: loss.crashId, alone: loss.alone} : {})});
 		link.send({
 			kind: 'failed',
 			requestId: work.requestId,
 			attempt: work.attempt,
 			reason: crashed ? 'engine-crashed' : 'backend-error',
 			outcome: 'unknown',
-			crashed,
-			fingerprints: crashed ? loss.fingerprints : [],
+			crashId: crashed ? loss.crashId : '',
+			alone: crashed && loss.alone,
 		});
 	}
 
--- a/packages/endpoint/src/load-monitor.ts
+++ b/packages/endpoint/src/load-monitor.ts
@@ -16,29 +16,36 @@
 	readonly leaving: boolean;
 };
 
+export type LoadMonitorOptions = {
+	/** Undefined for a plain service, which reports no load. */
+	readonly engine: EngineClient | undefined;
+	/** Read at each report. */
+	readonly local: () => LocalLoad;
+	/** Called with each load read from the engine. */
+	readonly onLoad: (load: EngineLoad) => void;
+	readonly signal: AbortSignal;
+};
+
 export class LoadMonitor {
-	/**
-	 * Starts reading the engine's load.
-	 *
-	 * @param engine - Undefined for a plain service, which reports no load.
-	 * @param local - Read at each report.
-	 */
-	static create(engine: EngineClient | undefined, local: () => LocalLoad, signal: AbortSignal): LoadMonitor {
-		const monitor = new LoadMonitor(local);
-		if (engine !== undefined) {
-			void monitor.#run(engine, signal);
+	/** Starts reading the engine's load. */
+	static create(options: LoadMonitorOptions): LoadMonitor {
+		const monitor = new LoadMonitor(options);
+		if (options.engine !== undefined) {
+			void monitor.#run(options.engine, options.signal);
 		}
 
 		return monitor;
 	}
 
+	readonly #onLoad: (load: EngineLoad) => void;
 	readonly #local: () => LocalLoad;
 	#engineLoad: EngineLoad | undefined;
 	#cached = 0;
 	#cacheEvents = 0;
 
-	private constructor(local: () => LocalLoad) {
+	private constructor({local, onLoad}: LoadMonitorOptions) {
 		this.#local = local;
+		this.#onLoad = onLoad;
 	}
 
 	/** Last load read from the engine. */
@@ -65,6 +72,7 @@
 			const [load] = await Promise.all([engine.load(), this.#readCacheEvents(engine)]);
 			if (load.kind === 'ok') {
 				this.#engineLoad = load.value;
+				this.#onLoad(load.value);
 			}
 
 			try {
--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -12,7 +12,7 @@
 export type AttemptEnd
 	= | {readonly kind: 'done'}
 		| {readonly kind: 'refused'; readonly reason: string; readonly outcome: Outcome}
-		| {readonly kind: 'failed'; readonly reason: string; readonly outcome: Outcome; readonly crashed: boolean; readonly fingerprints: readonly string[]}
+		| {readonly kind: 'failed'; readonly reason: string; readonly outcome: Outcome; readonly crashId: string; readonly alone: boolean}
 	/** The work was certainly not sent. */
 		| {readonly kind: 'not-sent'}
 		| {readonly kind: 'link-lost'}
--- a/packages/entry/src/model-request.ts
+++ b/packages/entry/src/model-request.ts
@@ -335,7 +335,7 @@
 			return {kind: 'retry', reason: 'engine-refused', exclude: true};
 		}
 
-		if (end.crashed || end.reason === 'backend-error') {
+		if (end.crashId !== '' || end.reason === 'backend-error') {
 			return {kind: 'retry', reason: 'engine-crashed', exclude: true};
 		}
 
--- a/packages/peering/src/peering.ts
+++ b/packages/peering/src/peering.ts
@@ -107,6 +107,11 @@
 		return this.#machine;
 	}
 
+	/** Changes each time the process starts. */
+	get incarnation(): string {
+		return this.#options.incarnation;
+	}
+
 	/** Whether this machine may serve, by what it heard since its start. */
 	get readiness(): Readiness {
 		return readinessOf(this.kernel.snapshot);
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -70,7 +70,7 @@
 		requestId, attempt: count, totalBytes: count, from: count, hash: z.string().max(16), load: loadSchema,
 	}),
 	failed: z.object({
-		requestId, attempt: count, reason: name, outcome, crashed: z.boolean(), fingerprints: z.array(name).max(4096).readonly(),
+		requestId, attempt: count, reason: name, outcome, crashId: name, alone: z.boolean(),
 	}),
 	cancel: z.object({requestId, attempt: count}),
 	ack: z.object({requestId, attempt: count, offset: count}),
