Apply workspace limits and the quarantine at the entry

Cause: grants and suspects were decided by modules that no process drove. Change: an entry spends grants, reports demand once a second and is home for its share of workspaces; crashes go to two homes and to all entries before the caller is answered, and a suspect runs only with its home's permission. Link listeners also see links that were open before they registered. Ruled out: asking a fingerprint's home for every request (27 questions a second and entry cost about 5 KB/s, the whole control budget); telling all entries the suspects of a crash costs 2 KB a crash.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -11,6 +11,8 @@
 import {readInference} from './inference.js';
 import {ModelRequest, type RequestContext, type RequestEnd} from './model-request.js';
 import {refuse, type Refusal} from './refusal.js';
+import {Suspects} from './suspects.js';
+import {WorkspaceLimits} from './workspace-limits.js';
 import {ServiceRequest, toRequestEnd} from './service-request.js';
 import {type Logger, type Metrics} from '#telemetry';
 import {type EntrySettings} from '#settings';
@@ -83,6 +85,8 @@
 			attempts: AttemptTable.create(peering.pool, metrics),
 			prefixes: PrefixMemory.create(),
 			budget: RetryBudget.create(),
+			suspects: Suspects.create({peering, log: options.log}),
+			limits: WorkspaceLimits.create({peering, log: options.log, signal}),
 			metrics,
 			log: this.#log,
 		};
@@ -117,6 +121,8 @@
 	/** Closes the listening socket and idle connections. */
 	async close(): Promise<void> {
 		this.#context.fleet.close();
+		this.#context.suspects.close();
+		this.#context.limits.close();
 		this.#context.attempts.close();
 		await this.#http.close();
 	}
@@ -246,6 +252,12 @@
 			return reject(refuse('unknown-model', 'not-run', `the rules name no model ${inference.model}`));
 		}
 
+		const tokens = inference.inputTokens + inference.outputTokens;
+		const spent = this.#context.limits.spend(workspace.name, tokens, Date.now());
+		if (spent.kind === 'refused') {
+			return reject(refuse('over-limit', 'not-run', `workspace ${workspace.name} is over its limit`, spent.retryAfterMs / 1000));
+		}
+
 		const answer = Answer.create(res.raw, requestId, offset => {
 			request.delivered(offset);
 		});
@@ -255,6 +267,9 @@
 		const end = await request.run();
 		if (end.kind === 'refusal') {
 			answer.refuse(end);
+			if (end.outcome === 'not-run') {
+				this.#context.limits.refund(workspace.name, tokens, Date.now());
+			}
 		}
 
 		return end;
--- a/packages/entry/src/model-request.ts
+++ b/packages/entry/src/model-request.ts
@@ -3,6 +3,7 @@
  * idempotent: an attempt that was lost is resumed or run again elsewhere, within the
  * deadline and the retry budget.
  */
+import {setTimeout as sleep} from 'node:timers/promises';
 import {type Answer} from './answer.js';
 import {Attempt, type AttemptEnd} from './attempt.js';
 import {type AttemptTable} from './attempt-table.js';
@@ -11,10 +12,13 @@
 import {
 	refuse, type Outcome, type Refusal, type RefusalReason, type RetryReason,
 } from './refusal.js';
+import {type Suspects} from './suspects.js';
+import {type WorkspaceLimits} from './workspace-limits.js';
 import {type RetryBudget} from '#coordination';
 import {admit} from '#limits';
 import {type Peering} from '#peering';
 import {type MessageOf, type PeerLink} from '#protocol';
+import {type RunEnd} from '#quarantine';
 import {type PrefixMemory, type Replica, type RouteRequest} from '#routing';
 import {type WorkspaceRule} from '#rules';
 import {type Logger, type Metrics} from '#telemetry';
@@ -35,6 +39,8 @@
 	readonly attempts: AttemptTable;
 	readonly prefixes: PrefixMemory;
 	readonly budget: RetryBudget;
+	readonly suspects: Suspects;
+	readonly limits: WorkspaceLimits;
 	readonly metrics: Metrics;
 	readonly log: Logger;
 };
@@ -61,6 +67,15 @@
 		| {readonly kind: 'abandoned'}
 		| Refusal;
 
+/** Permission for one attempt. */
+type Permit = {
+	readonly kind: 'permit';
+	readonly solo: MessageOf<'work'>['solo'];
+	readonly id: string;
+	/** True if a home holds the permission and must be told how the attempt ended. */
+	readonly held: boolean;
+};
+
 /** What follows an attempt that did not finish the request. */
 type Next
 	= | {readonly kind: 'retry'; readonly reason: RetryReason; readonly exclude: boolean}
@@ -113,7 +128,13 @@
 			}
 
 			const chosen = choice.replica;
-			const end = await this.#try(chosen);
+			const permit = await this.#permit();
+			if (permit.kind === 'refusal') {
+				return this.#settle(permit);
+			}
+
+			const end = await this.#try(chosen, permit);
+			await this.#reportEnd(end, permit);
 			if (end.kind === 'done') {
 				answer.finish();
 				return {kind: 'done'};
@@ -197,7 +218,58 @@
 		return {kind: 'replica', replica: choice.replica};
 	}
 
-	async #try(replica: Replica): Promise<AttemptEnd> {
+	/** Permission for the next attempt: a suspect waits for its home's answer, everything else runs at once. */
+	async #permit(): Promise<Permit | Refusal> {
+		const {suspects} = this.#context;
+		const {inference, requestId, deadline, signal} = this.#options;
+		const id = `${requestId}/${this.#attempts + 1}`;
+		if (!suspects.isSuspect(inference.fingerprint)) {
+			return {
+				kind: 'permit', solo: 'shared', id, held: false,
+			};
+		}
+
+		while (!signal.aborted && Date.now() < deadline) {
+			const permission = await suspects.ask(inference.fingerprint, id);
+			switch (permission.kind) {
+				case 'run': {
+					return {
+						kind: 'permit', solo: permission.suspect ? 'no-other-suspect' : 'shared', id, held: true,
+					};
+				}
+
+				case 'run-alone': {
+					return {
+						kind: 'permit', solo: 'alone', id, held: true,
+					};
+				}
+
+				case 'wait': {
+					await sleep(permission.retryAfterMs);
+					break;
+				}
+
+				case 'refuse': {
+					return refuse('quarantined', 'not-run', 'requests like this one crashed several engines', (permission.untilMs - Date.now()) / 1000);
+				}
+			}
+		}
+
+		return refuse('deadline', 'not-run', 'the deadline passed while the request waited to run apart from others');
+	}
+
+	/** Tells the home how an attempt ended, before anything else is done for the request. */
+	async #reportEnd(end: AttemptEnd, permit: Permit): Promise<void> {
+		const {suspects} = this.#context;
+		const {fingerprint} = this.#options.inference;
+		if (end.kind === 'failed' && end.crashId !== '') {
+			await suspects.reportCrash(fingerprint, permit.id, {crashId: end.crashId, alone: end.alone});
+		} else if (permit.held) {
+			await suspects.reportEnd({fingerprint, permitId: permit.id, how: howEnded(end)});
+		}
+	}
+
+	async #try(replica: Replica, permit: Permit): Promise<AttemptEnd> {
 		const {peering, fleet, attempts, metrics} = this.#context;
 		const {inference} = this.#options;
 		this.#attempts += 1;
@@ -210,7 +282,7 @@
 
 		const startedAt = performance.now();
 		const finished = fleet.dispatch(replica.id, inference);
-		const attempt = this.#createAttempt(link, replica);
+		const attempt = this.#createAttempt(link, replica, permit);
 		this.#attempt = attempt;
 		const forget = attempts.add(attempt);
 		attempt.start();
@@ -223,14 +295,14 @@
 		}
 	}
 
-	#createAttempt(link: PeerLink, replica: Replica): Attempt {
+	#createAttempt(link: PeerLink, replica: Replica, permit: Permit): Attempt {
 		const {fleet, prefixes, metrics} = this.#context;
 		const {answer, inference, signal} = this.#options;
 		const known = prefixes.lookup(inference.prefixes, Date.now());
 		prefixes.dispatched(inference.prefixes, replica.id, Date.now());
 		const attempt = Attempt.create({
 			link,
-			work: this.#work(),
+			work: this.#work(permit),
 			sink: {
 				onAccepted({cachedTokens}) {
 					prefixes.accepted(inference.prefixes, known, replica.id, cachedTokens);
@@ -258,7 +330,7 @@
 		return attempt;
 	}
 
-	#work(): MessageOf<'work'> {
+	#work(permit: Permit): MessageOf<'work'> {
 		const {requestId, workspace, inference, path, headers, body, deadline, answer} = this.#options;
 		return {
 			kind: 'work',
@@ -268,7 +340,7 @@
 			priority: workspace.priority,
 			weight: workspace.weight,
 			deadlineMs: answer.streaming ? Number.MAX_SAFE_INTEGER : Math.max(0, deadline - Date.now()),
-			solo: 'shared',
+			solo: permit.solo,
 			fingerprint: inference.fingerprint,
 			target: 'model',
 			once: false,
@@ -343,6 +415,28 @@
 	}
 }
 
+/** What the end of an attempt says about a suspect's run. */
+function howEnded(end: AttemptEnd): RunEnd['how'] {
+	switch (end.kind) {
+		case 'done': {
+			return 'finished';
+		}
+
+		case 'refused':
+		case 'not-sent': {
+			return 'not-run';
+		}
+
+		case 'failed':
+		case 'link-lost':
+		case 'silent':
+		case 'corrupt':
+		case 'cancelled': {
+			return 'cancelled';
+		}
+	}
+}
+
 function refusalToRetry(reason: string): RetryReason {
 	return reason === 'leaving' || reason === 'endpoint-full' ? reason : 'engine-refused';
 }
--- a/packages/protocol/src/link-pool.ts
+++ b/packages/protocol/src/link-pool.ts
@@ -63,9 +63,13 @@
 		return this.#links.get(id);
 	}
 
-	/** Registers a listener for each new link; runs before the peer's first message is handled. */
+	/** Registers a listener for each link, open ones included; for a new link it runs before the peer's first message is handled. */
 	registerLinkListener(listener: (link: PeerLink) => void): Teardown {
 		this.#linkListeners.add(listener);
+		for (const link of this.links) {
+			listener(link);
+		}
+
 		return () => {
 			this.#linkListeners.delete(listener);
 		};
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -90,6 +90,7 @@
 	announce: z.object({machine: z.unknown(), incarnation: z.string().max(64)}),
 	demand: z.object({items: z.array(demandSchema).max(4096).readonly()}),
 	grant: z.object({items: z.array(grantSchema).max(4096).readonly()}),
+	suspects: z.object({fingerprints: z.array(name).max(4096).readonly()}),
 	ask: z.object({id: count, topic: name, payload: z.unknown()}),
 	answer: z.object({id: count, payload: z.unknown()}),
 	map: z.object({group: name, payload: z.unknown()}),
