Claim idempotency keys before a call that must run at most once

Cause: the demo's booking ran twice when it was sent again through another entry. Ruled out: recording the outcome before the caller is answered, which adds a store round trip to every booking; a lease on claims, which a paused holder would outlive.

--- a/packages/coordination/__tests__/unit/claim-store.fuzz.test.ts
+++ b/packages/coordination/__tests__/unit/claim-store.fuzz.test.ts
@@ -202,7 +202,7 @@
 
 		await world.store.step(Math.max(0, world.store.waiting.findLastIndex(call => call.kind !== 'read')), fate);
 		while (world.store.waiting.length > 0) {
-			await world.store.step(0, 'refuse'); // eslint-disable-line no-await-in-loop
+			await world.store.step(0, 'refuse');
 		}
 	}))),
 	entry.map(id => command(`flush ${id} and answer`, async world => flushWithAnswers(world, id))),
--- a/packages/coordination/src/claim-types.ts
+++ b/packages/coordination/src/claim-types.ts
@@ -17,6 +17,7 @@
 	status: z.number().int(),
 	body: z.string().max(4 * Math.ceil(MAX_OUTCOME_BYTES / 3)),
 	complete: z.boolean(),
+	contentType: z.string().max(256).optional(),
 });
 
 /** One claim in a head or segment. */
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -31,7 +31,7 @@
 	const {log, metrics, signal} = cradle;
 	if (settings.role === 'entry') {
 		const entry = await Entry.create({
-			settings, peering, log, metrics, signal,
+			settings, peering, store: cradle.platform, log, metrics, signal,
 		});
 		return {drain: async () => entry.drain(), close: async () => entry.close(), callerPort: entry.port};
 	}
--- a/packages/entry/src/answer.ts
+++ b/packages/entry/src/answer.ts
@@ -62,6 +62,11 @@
 		return this.#head?.status ?? 0;
 	}
 
+	/** An answer that is collected and sent to nobody, for a question that this process asks on its own behalf. */
+	createDetached(): Answer {
+		return new Answer(this.#res, this.#requestId, () => undefined);
+	}
+
 	/** Takes the head of an attempt's answer. The head of a later attempt does not change a stream that was begun. */
 	begin(head: AnswerHead): void {
 		if (this.#streaming) {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -2,10 +2,12 @@
 import {randomUUID} from 'node:crypto';
 import {type AddressInfo} from 'node:net';
 import {once} from 'node:events';
+import {setTimeout as sleep} from 'node:timers/promises';
 import fastify, {type FastifyInstance, type FastifyReply, type FastifyRequest} from 'fastify';
 import {AdminRoutes} from './admin.js';
 import {Answer} from './answer.js';
 import {AttemptTable} from './attempt-table.js';
+import {Claims} from './claims.js';
 import {deadlineOf, passedOnHeaders, workspaceOf} from './caller.js';
 import {Fleet} from './fleet.js';
 import {readInference} from './inference.js';
@@ -13,7 +15,8 @@
 import {refuse, type Refusal} from './refusal.js';
 import {Suspects} from './suspects.js';
 import {WorkspaceLimits} from './workspace-limits.js';
-import {ServiceRequest, toRequestEnd} from './service-request.js';
+import {OnceCall} from './once-call.js';
+import {ServiceRequest, toRequestEnd, type ServiceCall} from './service-request.js';
 import {type Logger, type Metrics} from '#telemetry';
 import {type EntrySettings} from '#settings';
 import {
@@ -21,15 +24,20 @@
 } from '#rules';
 import {PrefixMemory} from '#routing';
 import {type Peering} from '#peering';
-import {RetryBudget} from '#coordination';
+import {RetryBudget, type ObjectStore} from '#coordination';
 
 const MAX_HEADER_BYTES = 32 * 1024;
+/** Interval at which a draining entry looks whether outcomes of claims are still to be recorded. */
+const DRAIN_CHECK_MS = 100;
+
 const inferencePaths = ['/v1/chat/completions', '/v1/completions'] as const;
 const SERVICE_METHODS = ['GET', 'POST', 'PUT', 'PATCH', 'DELETE'] as const;
 
 export type EntryOptions = {
 	readonly settings: EntrySettings;
 	readonly peering: Peering;
+	/** Object store of the platform, for claims. */
+	readonly store: ObjectStore;
 	readonly log: Logger;
 	readonly metrics: Metrics;
 	readonly signal: AbortSignal;
@@ -46,6 +54,12 @@
 	readonly signal: AbortSignal;
 };
 
+/** A header that was sent once. */
+function headerOf(req: FastifyRequest, name: string): string | undefined {
+	const value = req.headers[name];
+	return typeof value === 'string' ? value : undefined;
+}
+
 /** Model, version and adapter as replicas offer them. */
 function offeredName({rule, version, adapter}: ResolvedModel): string {
 	const suffix = adapter === undefined ? '' : `+${adapter}`;
@@ -69,6 +83,7 @@
 	readonly #log: Logger;
 	readonly #http: FastifyInstance;
 	readonly #context: RequestContext;
+	readonly #claims: Claims;
 	readonly #idle = new EventTarget();
 	#inProgress = 0;
 	#draining = false;
@@ -90,6 +105,9 @@
 			metrics,
 			log: this.#log,
 		};
+		this.#claims = Claims.create({
+			peering, store: options.store, log: options.log, signal,
+		});
 		this.#http = fastify({
 			logger: false, bodyLimit: settings.maxBodyBytes, http: {maxHeaderSize: MAX_HEADER_BYTES}, forceCloseConnections: false,
 		});
@@ -111,8 +129,8 @@
 		this.#draining = true;
 		this.#options.peering.setLeaving(true);
 		this.#log.info('draining', {running: this.#inProgress});
-		while (this.#inProgress > 0) {
-			await once(this.#idle, 'idle');
+		while (this.#inProgress > 0 || this.#claims.pending > 0) {
+			await Promise.race([once(this.#idle, 'idle'), sleep(DRAIN_CHECK_MS)]);
 		}
 
 		this.#log.info('drained');
@@ -120,6 +138,7 @@
 
 	/** Closes the listening socket and idle connections. */
 	async close(): Promise<void> {
+		this.#claims.close();
 		this.#context.fleet.close();
 		this.#context.suspects.close();
 		this.#context.limits.close();
@@ -290,7 +309,7 @@
 			return refusal;
 		}
 
-		const request = ServiceRequest.create(this.#context, {
+		const serviceCall: ServiceCall = {
 			requestId,
 			workspace,
 			service: name,
@@ -302,7 +321,17 @@
 			once: isNonIdempotent(rule, req.method, path),
 			answer,
 			signal,
-		});
+		};
+		const request = serviceCall.once
+			? OnceCall.create({
+				context: this.#context,
+				claims: this.#claims,
+				metrics: this.#options.metrics,
+				rule,
+				call: serviceCall,
+				idempotencyKey: headerOf(req, 'idempotency-key'),
+			})
+			: ServiceRequest.create(this.#context, serviceCall);
 		const end = await request.run();
 		switch (end.kind) {
 			case 'answered': {
--- a/packages/entry/src/service-request.ts
+++ b/packages/entry/src/service-request.ts
@@ -2,7 +2,6 @@
  * One call of a plain service. A call that may be repeated is retried like a request to
  * a model; one that may not is sent at most once, after its key was claimed.
  */
-import {Buffer} from 'node:buffer';
 import {type Answer, type WholeAnswer} from './answer.js';
 import {Attempt, type AttemptEnd} from './attempt.js';
 import {toRefusalReason, type RequestContext, type RequestEnd} from './model-request.js';
@@ -221,11 +220,6 @@
 	return budget.takeRetry(Date.now());
 }
 
-/** Body and headers of a call as they are compared when a key is sent again. */
-export function bodyKey(call: Pick<ServiceCall, 'method' | 'path' | 'body'>): string {
-	return `${call.method} ${call.path} ${Buffer.from(call.body).toString('base64')}`;
-}
-
 /** The end of a call that was answered, as the entry's common type. */
 export function toRequestEnd(end: CallEnd): RequestEnd {
 	switch (end.kind) {
