--- /dev/null
+++ b/packages/cli/__tests__/unit/entry-commands.test.ts
@@ -0,0 +1,110 @@
+import t from 'tap';
+import {
+	at, atEntry, listen, OPERATOR_KEY, run, startPlatform,
+} from './harness.js';
+import {explainRequestSchema, type Explain, type Status} from '#cli';
+
+const machine: Status['machines'][number] = {
+	id: 'drafting-1-0',
+	zone: 'colombo-a',
+	region: 'lk-west',
+	role: 'endpoint',
+	group: 'drafting-1',
+	state: 'live',
+	rulesVersion: 0,
+	load: {queuedTokens: 1200, running: 7, tokensPerSecond: 812.345},
+	stepMs: 21.04,
+	mapVersion: 3,
+	ranks: [0, 1, 2, 3],
+};
+
+const status: Status = {
+	process: {
+		id: 'entry-1', zone: 'colombo-a', region: 'lk-west', version: '0.1.0', uptimeMs: 3_600_000,
+	},
+	rules: {version: 4, ageMs: 800},
+	platform: {reachable: false, lastAnswerAgeMs: 95_000},
+	machines: [machine, {
+		id: 'ledger-\u001B[2J', zone: 'gampaha-b', region: 'lk-west', role: 'endpoint', state: 'suspected',
+	}],
+	drains: [{
+		target: {kind: 'endpoint', name: 'ledger-3'}, author: 'Ruwan', reason: 'new disk', running: 2,
+	}],
+};
+
+const candidate: Explain['candidates'][number] = {
+	id: 'drafting-1-0', zone: 'colombo-a', waitMs: 40, prefillTokens: 100, cachedTokens: 60, zoneDistanceMs: 0.5, stragglerFactor: 1, costMs: 52.5, isPrefixHome: true, isChosen: true,
+};
+
+const explanation: Explain = {
+	workspace: 'readings', model: 'drafting', rulesVersion: 4, priority: 9, promptTokens: 160, grant: {tokensPerSecond: 400, availableTokens: 900}, candidates: [candidate, {
+		...candidate, id: 'drafting-2-0', excluded: 'closed', isPrefixHome: false, isChosen: false,
+	}], notes: [],
+};
+
+/** An entry that answers with a value or a status; values may depend on the number of the call. */
+async function startEntry(answer: (call: number) => unknown) {
+	const bodies: string[] = [];
+	const entry = await listen(({url, authorization, body}, res) => {
+		bodies.push(body);
+		if (authorization !== `Bearer ${OPERATOR_KEY}`) {
+			res.writeHead(401).end('{}');
+			return;
+		}
+
+		const value = answer(bodies.length);
+		res.writeHead(typeof value === 'number' ? value : 200).end(url.startsWith('/admin/') ? JSON.stringify(value) : '');
+	});
+	return {...entry, bodies};
+}
+
+await t.test('status as tables and as JSON', async t => {
+	const entry = await startEntry(() => status);
+	const {code, out} = await run(['status', ...atEntry(entry.url)]);
+	t.equal(code, 0);
+	t.match(out, /Rules: version 4, confirmed 800 ms ago\nPlatform: not reachable, last answer 95 s ago\n/u);
+	t.match(out, /drafting-1-0 +colombo-a +endpoint +drafting-1 +0-3 +live +0 +3 +1200 +7 +812\.3 +21\n/u);
+	t.match(out, /endpoint ledger-3 +2 +Ruwan +new disk\n/u);
+	t.notMatch(out, '\u001B', 'control characters do not reach the terminal');
+	const json = await run(['status', ...atEntry(entry.url), '--json']);
+	t.same(JSON.parse(json.out), status);
+	entry.close();
+});
+
+await t.test('explain sends the prompt and shows the candidates', async t => {
+	const entry = await startEntry(() => explanation);
+	const args = ['explain', ...atEntry(entry.url), '--workspace', 'readings', '--model', 'drafting', '--prompt-file', 'p.txt'];
+	const {code, out} = await run(args, {files: {'p.txt': 'නිවේදනය'}});
+	t.equal(code, 0);
+	t.same(explainRequestSchema.parse(JSON.parse(entry.bodies[0] ?? '')), {workspace: 'readings', model: 'drafting', prompt: 'නිවේදනය'});
+	t.match(out, /The request would run\.\n/u);
+	t.match(out, /drafting-1-0 .* prefix home, chosen\ndrafting-2-0 .* closed\n/u);
+	entry.close();
+});
+
+// Guards against a wrong exit code when the entry refuses, answers nonsense or is gone.
+await t.test('failures of the entry', async t => {
+	const answers = [503, {process: 1}, 'text'];
+	const entry = await startEntry(call => answers[call - 1]);
+	t.match(await run(['status', ...atEntry(entry.url)]), {code: 1, out: '', err: /answered 503/u});
+	t.match(await run(['status', ...atEntry(entry.url)]), {code: 1, err: /another shape at process/u});
+	t.match(await run(['status', ...atEntry(entry.url)]), {code: 1, err: /another shape/u});
+	t.match(await run(['status', ...atEntry(entry.url)], {files: {'o.key': 'another-operator-key'}}), {code: 1, err: /key was refused/u});
+	entry.close();
+	t.match(await run(['status', ...atEntry(entry.url)]), {code: 4, err: /ECONNREFUSED/u});
+});
+
+// Guards against "--wait" that ends before the version is in force, or hides that it is accepted.
+await t.test('apply --wait ends when the machines have the version', async t => {
+	const platform = await startPlatform();
+	const files = {'a.rules': 'zone a open # asked by Nimal\n'};
+	const apply = ['rules', 'apply', 'a.rules', ...at(platform.url), '--author', 'Nimal', '--wait'];
+	const entry = await startEntry(call => ({...status, rules: {version: call > 1 ? 1 : 0}, machines: [{...machine, rulesVersion: call > 2 ? 1 : 0}, status.machines[1]]}));
+	const waited = await run([...apply, ...atEntry(entry.url)], {files});
+	t.match(waited, {code: 0, out: /accepted as version 1/u, err: /in force on the entry and 1 machines; 1 do not report/u});
+	t.equal(entry.bodies.length, 3);
+	entry.close();
+	t.match(await run([...apply, ...atEntry(entry.url), '--timeout', '2'], {files}), {code: 1, err: /version 1 is accepted, but not in force everywhere after 2 s: entry: cannot be reached/u});
+	t.match(await run(apply, {files}), {code: 2, err: /--entry URL is missing/u});
+	await platform.close();
+});
