Parse rules files with less work per line

Cause: a daemon parses the whole file at each new version, on its only thread. Change: texts of findings are built only when needed, words are split without a regular expression, and plain ASCII lines skip the search for other marks.

--- a/packages/rules/src/parse.ts
+++ b/packages/rules/src/parse.ts
@@ -20,6 +20,7 @@
 // Controls but the tab, lone surrogates, line separators, byte order marks, and marks that
 // change the direction of text and can make a line read other than it is parsed.
 const FORBIDDEN = /(?!\t)\p{Cc}|\p{Cs}|[\u2028-\u202E\u2066-\u2069\uFEFF]/gu;
+const PLAIN_ASCII = /^[\t -~]*$/u;
 
 /** A line with the outcome of reading it; `rule` is present when its words are valid. */
 type LineOutcome = {
@@ -82,11 +83,13 @@
 		return [{column: maxLineChars + 1, read: `${text.length} characters`, allowed: `a line of at most ${maxLineChars} characters`}];
 	}
 
-	return [...text.matchAll(FORBIDDEN)].map(match => ({
-		column: match.index + 1,
-		read: codePointName(match[0]),
-		allowed: 'printable text, spaces and tabs',
-	}));
+	return PLAIN_ASCII.test(text)
+		? []
+		: [...text.matchAll(FORBIDDEN)].map(match => ({
+			column: match.index + 1,
+			read: codePointName(match[0]),
+			allowed: 'printable text, spaces and tabs',
+		}));
 }
 
 function codePointName(character: string): string {
--- a/packages/rules/src/source-line.ts
+++ b/packages/rules/src/source-line.ts
@@ -29,10 +29,24 @@
 export function readSourceLine(text: string, number: number): SourceLine {
 	const sign = text.indexOf('#');
 	const statement = sign === -1 ? text : text.slice(0, sign);
-	const words = [...statement.matchAll(/[^ \t]+/gu)].map(match => ({text: match[0], column: match.index + 1}));
+	const words = splitWords(statement);
 	const last = words.at(-1);
 	const line = {
 		number, text, words, endColumn: last === undefined ? 1 : last.column + last.text.length,
 	};
 	return sign === -1 ? line : {...line, comment: {text: text.slice(sign + 1), column: sign + 1}};
 }
+
+function splitWords(statement: string): readonly Word[] {
+	const words: Word[] = [];
+	let column = 1;
+	for (const text of statement.replaceAll('\t', ' ').split(' ')) {
+		if (text !== '') {
+			words.push({text, column});
+		}
+
+		column += text.length + 1;
+	}
+
+	return words;
+}
--- a/packages/rules/src/statement-reader.ts
+++ b/packages/rules/src/statement-reader.ts
@@ -45,7 +45,7 @@
 
 	/** The next word, one of `words`. Undefined after a problem. */
 	keyword<Allowed extends string>(words: readonly Allowed[]): Allowed | undefined {
-		const word = this.#next(describeWords('', words));
+		const word = this.#next(() => describeWords('', words));
 		const found = words.find(candidate => candidate === word?.text);
 		if (word !== undefined && found === undefined) {
 			this.#problems.push({column: word.column, read: excerpt(word.text), allowed: describeWords(word.text, words)});
@@ -56,7 +56,7 @@
 
 	/** The next word, read by `read`. Undefined after a problem. */
 	value<Value>(what: string, read: ValueReader<Value>): Value | undefined {
-		const word = this.#next(what);
+		const word = this.#next(() => what);
 		return word === undefined ? undefined : this.#accept(read(word.text), word.column);
 	}
 
@@ -97,10 +97,10 @@
 		return Object.fromEntries([...values].filter(([, value]) => value !== undefined)) as OptionValues<Readers>;
 	}
 
-	#next(allowed: string): Word | undefined {
+	#next(allowed: () => string): Word | undefined {
 		const word = this.#line.words[this.#position];
 		if (word === undefined) {
-			this.#problems.push({column: this.#line.endColumn, read: '', allowed});
+			this.#problems.push({column: this.#line.endColumn, read: '', allowed: allowed()});
 			return undefined;
 		}
 
