Drive the expert map's change protocol in the endpoint process

Cause: the protocol's member and leader were logic that no process drove. Change: a group agent per endpoint process: messages over the group's links, one order at a time to the engine, the group's lease for the first reachable member only, and the platform's record by conditional write with read-back. Ruled out: every member contending for the lease, which would cost the platform a poll per endpoint process (1,600 every few seconds). Figures: lease renewals at 200 groups and 5 s are 40 writes/s by arithmetic.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -37,7 +37,7 @@
 	}
 
 	const endpoint = Endpoint.create({
-		settings, peering, log, metrics, signal,
+		settings, peering, store: cradle.platform, log, metrics, signal,
 	});
 	return {drain: async () => endpoint.drain(), close: async () => endpoint.close(), callerPort: undefined};
 }
--- a/packages/endpoint/src/endpoint.ts
+++ b/packages/endpoint/src/endpoint.ts
@@ -2,12 +2,15 @@
  * The endpoint role: the only party that gives its engine or service work. It decides
  * whether to take work, runs it and tells the entry exactly what is known of its outcome.
  */
+import {randomUUID} from 'node:crypto';
 import {once} from 'node:events';
 import {setInterval} from 'node:timers/promises';
+import {GroupAgent} from './group-agent.js';
 import {CrashWindow} from './crash-window.js';
 import {Intake, type Job} from './intake.js';
 import {LoadMonitor} from './load-monitor.js';
 import {WorkRun, type RunEnd, type RunSource} from './work-run.js';
+import {type ObjectStore} from '#coordination';
 import {mergeTeardowns, type Teardown} from '#core';
 import {EngineClient} from '#engine';
 import {type Peering} from '#peering';
@@ -26,6 +29,8 @@
 export type EndpointOptions = {
 	readonly settings: EndpointSettings;
 	readonly peering: Peering;
+	/** Object store of the platform, for the group's lease and map. */
+	readonly store: ObjectStore;
 	readonly log: Logger;
 	readonly metrics: Metrics;
 	/** Aborted to stop at once; a planned stop uses `drain` before. */
@@ -48,6 +53,7 @@
 	readonly #monitor: LoadMonitor;
 	readonly #runs = new Map<string, WorkRun>();
 	readonly #seen = new Set<string>();
+	readonly #agent: GroupAgent | undefined;
 	readonly #subscribers = new Set<PeerLink>();
 	readonly #intake: Intake;
 	readonly #crashes: CrashWindow;
@@ -83,6 +89,11 @@
 			onCrash: () => this.#intake.crashed(Date.now()),
 			prefix: `${settings.id}/${peering.incarnation}`,
 		});
+		this.#agent = settings.backend.kind === 'model' && this.#engine !== undefined
+			? GroupAgent.create({
+				group: settings.backend.group, peering, engine: this.#engine, store: options.store, createId: randomUUID, log: options.log, metrics: options.metrics, signal,
+			})
+			: undefined;
 		this.#teardown = mergeTeardowns(
 			peering.pool.registerLinkListener(link => {
 				this.#onLink(link);
@@ -99,6 +110,11 @@
 		return this.#engine;
 	}
 
+	/** Agent of the group's expert map; undefined beside a plain service. */
+	get agent(): GroupAgent | undefined {
+		return this.#agent;
+	}
+
 	/** Requests that wait or run. */
 	get running(): number {
 		return this.#intake.size;
@@ -124,6 +140,7 @@
 	/** Closes the connections to the back end. */
 	async close(): Promise<void> {
 		this.#teardown();
+		await this.#agent?.close();
 		await Promise.all([this.#engine?.close(), this.#service?.close()]);
 	}
 
@@ -346,7 +363,7 @@
 
 	#reportMessage(): MessageOf<'report'> {
 		return {
-			kind: 'report', load: this.#load(), rulesVersion: this.#options.peering.kernel.snapshot.rules.newest.version, mapVersion: 0,
+			kind: 'report', load: this.#load(), rulesVersion: this.#options.peering.kernel.snapshot.rules.newest.version, mapVersion: this.#agent?.status.state?.mapVersion ?? 0,
 		};
 	}
 
--- a/packages/engine/src/engine-client.ts
+++ b/packages/engine/src/engine-client.ts
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {z} from 'zod';
 import {Backend, type BackendAnswer, type BackendRequest} from './backend.js';
+import {type EngineOrder, type EngineState, type OrderAnswer} from '#expertmap';
 import {
 	failed, ok, type Result,
 } from '#core';
@@ -19,17 +20,15 @@
 
 const orderStateSchema = z.object({
 	epoch: z.number(),
+	members: z.array(z.string()),
 	step: z.number(),
 	mapVersion: z.number(),
 	prepared: z.array(z.number()),
-	gate: z.object({version: z.number(), step: z.number(), gone: z.boolean()}).nullish(),
+	gate: z.object({version: z.number(), step: z.number(), gone: z.boolean()}).exactOptional(),
 	fence: z.number(),
 });
 
-/** State of an engine's expert map. */
-export type EngineOrderState = Readonly<z.infer<typeof orderStateSchema>>;
-
-const orderAnswerSchema = z.object({reason: z.string().optional(), state: orderStateSchema});
+const orderAnswerSchema = z.object({reason: z.enum(['fence', 'not-prepared', 'too-late', 'no-gate', 'gone']).exactOptional(), state: orderStateSchema});
 const expertLoadSchema = z.object({step: z.number(), layers: z.array(z.array(z.number()))});
 
 /** Observed load of experts: step, then tokens per layer and expert. */
@@ -43,21 +42,8 @@
 /** Cache events after a position; late and with gaps. */
 export type CacheEvents = Readonly<z.infer<typeof cacheEventsSchema>>;
 
-/** An order for the engine. `version` and `step` as in the expert map's change protocol. */
-export type EngineOrder = {
-	readonly order: 'prepare' | 'gate' | 'go' | 'cancel' | 'drop' | 'reform';
-	readonly version: number;
-	readonly step?: number;
-	readonly map?: unknown;
-	readonly epoch?: number;
-	readonly fence: number;
-};
-
-/** Answer to an order: done, refused with the engine's reason, or not known. */
-export type OrderAnswer
-	= | {readonly kind: 'done'; readonly state: EngineOrderState}
-		| {readonly kind: 'refused'; readonly reason: string; readonly state: EngineOrderState}
-		| {readonly kind: 'unknown'; readonly message: string};
+/** Answer to an order, or none; `orderState` then tells whether the order took effect. */
+export type OrderResult = OrderAnswer | {readonly kind: 'no-answer'};
 
 /** Requests to the engine that are not a caller's work give up after this time. */
 const CONTROL_LIMIT_MS = 2000;
@@ -108,15 +94,15 @@
 		return this.#json('GET', `/v1/cache-events?after=${after}`, undefined, cacheEventsSchema);
 	}
 
-	async orderState(): Promise<Result<EngineOrderState, string>> {
+	async orderState(): Promise<Result<EngineState, string>> {
 		return this.#json('GET', '/v1/orders/state', undefined, orderStateSchema);
 	}
 
-	/** Gives an order. A lost answer is `unknown`; read `orderState` to find out. */
-	async order(order: EngineOrder): Promise<OrderAnswer> {
+	/** Gives an order. */
+	async order(order: EngineOrder): Promise<OrderResult> {
 		const res = await this.#json('POST', '/v1/orders', order, orderAnswerSchema);
 		if (res.kind === 'failed') {
-			return {kind: 'unknown', message: res.failure};
+			return {kind: 'no-answer'};
 		}
 
 		const {reason, state} = res.value;
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -30,6 +30,9 @@
 /** Interval at which a draining entry looks whether outcomes of claims are still to be recorded. */
 const DRAIN_CHECK_MS = 100;
 
+/** A draining entry gives up recording outcomes after this time, so that a platform outage does not hold its replacement. */
+const RECORD_LIMIT_MS = 30_000;
+
 const inferencePaths = ['/v1/chat/completions', '/v1/completions'] as const;
 const SERVICE_METHODS = ['GET', 'POST', 'PUT', 'PATCH', 'DELETE'] as const;
 
@@ -129,7 +132,8 @@
 		this.#draining = true;
 		this.#options.peering.setLeaving(true);
 		this.#log.info('draining', {running: this.#inProgress});
-		while (this.#inProgress > 0 || this.#claims.pending > 0) {
+		const recordUntil = Date.now() + RECORD_LIMIT_MS;
+		while (this.#inProgress > 0 || (this.#claims.pending > 0 && Date.now() < recordUntil)) {
 			await Promise.race([once(this.#idle, 'idle'), sleep(DRAIN_CHECK_MS)]);
 		}
 
