--- a/packages/cli/__tests__/unit/command-line.test.ts
+++ b/packages/cli/__tests__/unit/command-line.test.ts
@@ -53,6 +53,13 @@
 	t.same(outcomes.map(({code, err}) => [code, err]), samples.map(() => [0, '']));
 });
 
+await t.test('the rules in the documentation pass the checks', async t => {
+	const pages = ['docs/OPERATING.md', 'packages/rules/README.md'].map(file => readFileSync(file, 'utf8'));
+	const blocks = pages.flatMap(page => [...page.matchAll(/```\n(?<text>[^`]*# asked by [A-Z][a-z][^`]*)```/gu)].map(match => match.groups?.text ?? ''));
+	const outcomes = await Promise.all(blocks.map(async text => run(['rules', 'check', 'a.rules'], {files: {'a.rules': text}})));
+	t.same(outcomes.map(({code, err}) => [code, err]), [[0, ''], [0, '']]);
+});
+
 await t.test('the program passes on exit code and streams', t => {
 	const dir = mkdtempSync(path.join(tmpdir(), 'mimosamount-'));
 	const file = path.join(dir, 'a.rules');
