Add request correlation

Cause: frames may arrive late, twice, out of order or on another link, and a restarted answer may differ from the one a caller has part of. Change: `RequestCorrelation` ties frames to request, attempt and link, checks byte offsets, counts drops by reason, keeps a running xxhash64, and compares length and hash at the end. A restarted answer is spliced only after the hash of its first bytes equals that of the bytes delivered. `delivered()` now tells whether an attempt is resumable, and `begin` refuses to resume one that is not. Broken by hand, seen failing, restored: gap and repeat checks, prefix hash, end hash (fuzz); attempt, link, frames after the end, an unfinished prefix, total length, resume without comparison (unit table).

--- /dev/null
+++ b/packages/coordination/__tests__/unit/request-correlation.fuzz.test.ts
@@ -0,0 +1,119 @@
+import {Buffer} from 'node:buffer';
+import t from 'tap';
+import fc from 'fast-check';
+import xxhash from 'xxhash-wasm';
+import {invariant} from '#core';
+import {RequestCorrelation, type AnswerFrame} from '#coordination';
+import {createFuzzCommand, fuzzParameters} from '#tooling';
+
+const SEED = 20_264;
+const RUNS = 400;
+const REQUESTS = 2;
+const {h64ToString} = await xxhash();
+
+/** Sends answers over links that delay, repeat and reorder frames. An endpoint's answer may differ from another's. */
+class World {
+	readonly answers = Array.from({length: REQUESTS}, (_, request) => ({
+		attempt: 0, variant: 0, delivered: '', complete: false, request,
+	}));
+
+	readonly net: AnswerFrame[] = [];
+	readonly requests: RequestCorrelation;
+
+	constructor(requests: RequestCorrelation) {
+		this.requests = requests;
+	}
+
+	text(request: number, variant: number): string {
+		const common = `answer to request ${request}, `;
+		return variant === 2 ? common : `${common}text ${variant === 0 ? 'as before' : 'that is another'}`;
+	}
+
+	begin(request: number, variant: number, cut: number): void {
+		const answer = this.answers[request]!;
+		// Only the endpoint that ran the attempt before can resume it.
+		const resumable = variant === answer.variant && this.requests.delivered(String(request))?.resumable !== false;
+		const mode = resumable && cut % 2 === 0 ? 'resume' : 'restart';
+		answer.attempt += 1;
+		answer.variant = variant;
+		const tag = {requestId: String(request), attempt: answer.attempt, source: `link ${variant}`};
+		this.requests.begin(tag.requestId, {attempt: tag.attempt, source: tag.source, mode});
+		const text = this.text(request, variant);
+		this.net.push({...tag, kind: 'head'});
+		for (let offset = mode === 'resume' ? answer.delivered.length : 0; offset < text.length; offset += 1 + cut) {
+			this.net.push({
+				...tag, kind: 'chunk', offset, bytes: Buffer.from(text.slice(offset, offset + 1 + cut)),
+			});
+		}
+
+		this.net.push({
+			...tag, kind: 'end', totalBytes: text.length, hash: h64ToString(text),
+		});
+	}
+
+	receive(frame: AnswerFrame | undefined): void {
+		const verdict = frame === undefined ? undefined : this.requests.receive(frame);
+		const answer = this.answers[Number(frame?.requestId ?? 0)]!;
+		if (verdict?.kind === 'bytes') {
+			invariant(!answer.complete, 'bytes were delivered after the answer was complete');
+			answer.delivered += Buffer.from(verdict.bytes).toString();
+		}
+
+		answer.complete ||= verdict?.kind === 'complete';
+	}
+}
+
+/** What a caller may have received. */
+class Oracle {
+	completed = 0;
+
+	check(world: World): void {
+		for (const {request, delivered, complete, variant} of world.answers) {
+			const texts = [0, 1, 2].map(index => world.text(request, index));
+			invariant(texts.some(text => text.startsWith(delivered)), `request ${request} received ${JSON.stringify(delivered)}`);
+			invariant(!complete || delivered === texts[variant], `request ${request} was completed with ${JSON.stringify(delivered)}`);
+		}
+
+		this.completed = world.answers.filter(answer => answer.complete).length;
+	}
+}
+
+const command = (label: string, run: (world: World) => void) => createFuzzCommand<Oracle, World>(label, (oracle, world) => {
+	run(world);
+	oracle.check(world);
+});
+const request = fc.nat(REQUESTS - 1);
+const commands = [
+	fc.tuple(request, fc.nat(2), fc.nat(8)).map(([id, variant, cut]) => command(`begin ${id} ${variant} ${cut}`, world => {
+		if (!world.answers[id]!.complete) {
+			world.begin(id, variant, cut);
+		}
+	})),
+	...Array.from({length: 3}, () => fc.nat(30).map(count => command(`receive ${count} in order`, world => {
+		for (const frame of world.net.splice(0, count)) {
+			world.receive(frame);
+		}
+	}))),
+	fc.nat(30).map(index => command(`receive ${index} out of order`, world => {
+		world.receive(world.net.splice(index, 1)[0]);
+	})),
+	fc.nat(30).map(index => command(`repeat ${index}`, world => {
+		world.receive(world.net[index]);
+	})),
+	fc.nat(30).map(index => command(`swap the links of ${index}`, world => {
+		const frame = world.net[index];
+		world.receive(frame && {...frame, source: 'another link'});
+	})),
+];
+
+await t.test('a caller receives one complete answer to its own request, or a part that is not called complete', async t => {
+	let completed = 0;
+	await fc.assert(fc.asyncProperty(fc.commands(commands, {maxCommands: 60, size: 'max'}), async steps => {
+		const world = new World(await RequestCorrelation.create());
+		const oracle = new Oracle();
+		await fc.asyncModelRun(() => ({model: oracle, real: world}), steps);
+		completed += oracle.completed;
+	}), fuzzParameters({seed: SEED, runs: RUNS}));
+	t.ok(completed > 0, 'answers complete');
+	t.comment(`${completed} answers completed`);
+});
--- /dev/null
+++ b/packages/coordination/__tests__/unit/request-correlation.test.ts
@@ -0,0 +1,101 @@
+import {Buffer} from 'node:buffer';
+import t from 'tap';
+import xxhash from 'xxhash-wasm';
+import {RequestCorrelation, type AnswerFrame} from '#coordination';
+
+const {h64ToString} = await xxhash();
+const tag = {requestId: 'r', attempt: 1, source: 'x'};
+const head = {...tag, kind: 'head'} as const;
+const chunk = (offset: number, text: string, attempt = 1): AnswerFrame => ({
+	...tag, attempt, kind: 'chunk', offset, bytes: Buffer.from(text),
+});
+const end = (text: string, attempt = 1): AnswerFrame => ({
+	...tag, attempt, kind: 'end', totalBytes: text.length, hash: h64ToString(text),
+});
+
+await t.test('frames out of place are dropped and counted by reason', async t => {
+	const cases: ReadonlyArray<readonly [string, readonly AnswerFrame[], Record<string, unknown>]> = [
+		['request of nobody', [{...head, requestId: 'other'}], {kind: 'dropped', reason: 'unknown-request'}],
+		['earlier attempt', [{...head, attempt: 0}], {kind: 'dropped', reason: 'late-attempt'}],
+		['attempt that was not begun', [{...head, attempt: 2}], {kind: 'dropped', reason: 'future-attempt'}],
+		['another link', [{...head, source: 'y'}], {kind: 'dropped', reason: 'crossed'}],
+		['second head', [head, head], {kind: 'dropped', reason: 'duplicate'}],
+		['bytes before the head', [chunk(0, 'ab')], {kind: 'dropped', reason: 'before-head'}],
+		['end before the head', [end('')], {kind: 'dropped', reason: 'before-head'}],
+		['chunk twice', [head, chunk(0, 'ab'), chunk(0, 'ab')], {kind: 'dropped', reason: 'duplicate', expected: 2}],
+		['missing chunk', [head, chunk(0, 'ab'), chunk(4, 'ef')], {kind: 'dropped', reason: 'gap', expected: 2}],
+		['overlapping chunk', [head, chunk(0, 'ab'), chunk(1, 'bc')], {kind: 'dropped', reason: 'overlap', expected: 2}],
+		['frame after a refusal', [{...tag, kind: 'refused'}, head], {kind: 'dropped', reason: 'after-end'}],
+		['whole answer', [{...tag, kind: 'accepted'}, head, chunk(0, 'ab'), chunk(2, 'c'), end('abc')], {kind: 'complete', totalBytes: 3}],
+		['empty answer', [head, end('')], {kind: 'complete', totalBytes: 0}],
+		['end twice', [head, end(''), end('')], {kind: 'dropped', reason: 'after-end'}],
+		['true hash, another length', [head, chunk(0, 'abc'), {
+			...tag, kind: 'end', totalBytes: 4, hash: h64ToString('abc'),
+		}], {kind: 'corrupt'}],
+		['answer cut short', [head, chunk(0, 'ab'), end('abc')], {kind: 'corrupt', received: 2}],
+		['altered answer of the same length', [head, chunk(0, 'axc'), end('abc')], {kind: 'corrupt', received: 3}],
+	];
+	for (const [name, frames, expected] of cases) {
+		const requests = await RequestCorrelation.create(); // eslint-disable-line no-await-in-loop
+		requests.begin('r', {attempt: 1, source: 'x', mode: 'restart'});
+		const verdicts = frames.map(frame => requests.receive(frame));
+		t.match(verdicts.at(-1), expected, name);
+		const dropped = Object.values(requests.drops).reduce((sum, count) => sum + count, 0);
+		t.equal(dropped, 'reason' in expected ? 1 : 0, `${name}: counted`);
+	}
+});
+
+await t.test('a further attempt continues only the same answer', async t => {
+	const cases: ReadonlyArray<{readonly name: string; readonly mode: 'restart' | 'resume'; readonly frames: readonly AnswerFrame[]; readonly text: string; readonly last: Record<string, unknown>}> = [
+		{
+			name: 'resume', mode: 'resume', frames: [chunk(3, 'de', 2), end('abcde', 2)], text: 'abcde', last: {kind: 'complete', totalBytes: 5},
+		},
+		{
+			name: 'restart with the same answer',
+			mode: 'restart',
+			frames: [{...head, attempt: 2}, chunk(0, 'ab', 2), chunk(2, 'cde', 2), end('abcde', 2)],
+			text: 'abcde',
+			last: {kind: 'complete'},
+		},
+		{
+			name: 'restart with another answer',
+			mode: 'restart',
+			frames: [{...head, attempt: 2}, chunk(0, 'ab', 2), chunk(2, 'xde', 2), end('abxde', 2)],
+			text: 'abc',
+			last: {kind: 'dropped', reason: 'after-end'},
+		},
+		{
+			name: 'restart with a shorter answer', mode: 'restart', frames: [{...head, attempt: 2}, chunk(0, 'ab', 2), end('ab', 2)], text: 'abc', last: {kind: 'diverged'},
+		},
+		{
+			name: 'resume of another answer', mode: 'resume', frames: [chunk(3, 'de', 2), end('xyzde', 2)], text: 'abcde', last: {kind: 'corrupt'},
+		},
+	];
+	for (const {name, mode, frames, text, last} of cases) {
+		const requests = await RequestCorrelation.create(); // eslint-disable-line no-await-in-loop
+		requests.begin('r', {attempt: 1, source: 'x', mode: 'restart'});
+		requests.receive(head);
+		requests.receive(chunk(0, 'abc'));
+		t.same(requests.delivered('r'), {offset: 3, hash: h64ToString('abc'), resumable: true});
+		requests.begin('r', {attempt: 2, source: 'x', mode});
+		t.match(requests.receive(chunk(3, 'de')), {reason: 'late-attempt'});
+		const verdicts = frames.map(frame => requests.receive(frame));
+		const bytes = verdicts.flatMap(verdict => verdict.kind === 'bytes' ? [verdict.bytes] : []);
+		t.equal(`abc${Buffer.concat(bytes).toString()}`, text, name);
+		t.match(verdicts.at(-1), last, name);
+		requests.finish('r');
+		t.equal(requests.size, 0);
+	}
+
+	const requests = await RequestCorrelation.create();
+	requests.begin('r', {attempt: 2, source: 'x', mode: 'restart'});
+	t.throws(() => {
+		requests.begin('r', {attempt: 2, source: 'x', mode: 'resume'});
+	}, /attempt 2 after 2/);
+	requests.receive({...head, attempt: 2});
+	requests.receive(chunk(0, 'abc', 2));
+	requests.begin('r', {attempt: 3, source: 'x', mode: 'restart'});
+	t.throws(() => {
+		requests.begin('r', {attempt: 4, source: 'x', mode: 'resume'});
+	}, /not compared yet/, 'an unverified answer is not continued');
+});
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -20,3 +20,7 @@
 	CLAIM_SHARDS, createClaimOutcome, hashClaimBody, hashClaimKey, MAX_OUTCOME_BYTES, shardOfClaim,
 	type ClaimAnswer, type ClaimFailure, type ClaimKey, type ClaimOutcome, type ClaimRequest, type ClaimUnavailable, type FinishAnswer, type ReleaseClaimAnswer,
 } from './claim-types.js';
+export {
+	RequestCorrelation, type AnswerFrame, type AttemptStart, type Delivered, type DropReason, type FrameTag, type FrameVerdict,
+} from './request-correlation.js';
+export type {StreamVerdict} from './answer-stream.js';
