Align the explain answer with the terms of routing

Cause: routing reports the cost of a candidate term by term, and the entry can pass these on as they are. Change: the candidate schema holds routing's terms, replicas left out are a list of their own, and machines of the status carry the age of their report. Ruled out: a schema of its own for the terminal, since the entry would have to translate each term.

--- a/packages/cli/__tests__/unit/entry-commands.test.ts
+++ b/packages/cli/__tests__/unit/entry-commands.test.ts
@@ -13,6 +13,7 @@
 	state: 'live',
 	rulesVersion: 0,
 	load: {queuedTokens: 1200, running: 7, tokensPerSecond: 812.345},
+	reportAgeMs: 400,
 	stepMs: 21.04,
 	mapVersion: 3,
 	ranks: [0, 1, 2, 3],
@@ -33,13 +34,31 @@
 };
 
 const candidate: Explain['candidates'][number] = {
-	id: 'drafting-1-0', zone: 'colombo-a', waitMs: 40, prefillTokens: 100, cachedTokens: 60, zoneDistanceMs: 0.5, stragglerFactor: 1, costMs: 52.5, isPrefixHome: true, isChosen: true,
+	id: 'drafting-1-0',
+	zone: 'colombo-a',
+	source: 'prefix-home',
+	queueMs: 30,
+	ownMs: 10,
+	prefillMs: 12,
+	zoneMs: 0.5,
+	straggler: 1,
+	waitMs: 52.5,
+	balanceMs: 2,
+	costMs: 54.5,
+	cachedTokens: 60,
+	reportAgeMs: 700,
 };
 
 const explanation: Explain = {
-	workspace: 'readings', model: 'drafting', rulesVersion: 4, priority: 9, promptTokens: 160, grant: {tokensPerSecond: 400, availableTokens: 900}, candidates: [candidate, {
-		...candidate, id: 'drafting-2-0', excluded: 'closed', isPrefixHome: false, isChosen: false,
-	}], notes: [],
+	workspace: 'readings',
+	model: 'drafting@2026-11',
+	rulesVersion: 4,
+	priority: 9,
+	grant: {tokensPerSecond: 400, availableTokens: 900},
+	chosen: 'drafting-1-0',
+	candidates: [candidate],
+	leftOut: [{id: 'drafting-2-0', reason: 'closed'}],
+	notes: [],
 };
 
 /** An entry that answers with a value or a status; values may depend on the number of the call. */
@@ -63,7 +82,7 @@
 	const {code, out} = await run(['status', ...atEntry(entry.url)]);
 	t.equal(code, 0);
 	t.match(out, /Rules: version 4, confirmed 800 ms ago\nPlatform: not reachable, last answer 95 s ago\n/u);
-	t.match(out, /drafting-1-0 +colombo-a +endpoint +drafting-1 +0-3 +live +0 +3 +1200 +7 +812\.3 +21\n/u);
+	t.match(out, /drafting-1-0 +colombo-a +endpoint +drafting-1 +0-3 +live +0 +3 +1200 +7 +812\.3 +21 +400 ms\n/u);
 	t.match(out, /endpoint ledger-3 +2 +Ruwan +new disk\n/u);
 	t.notMatch(out, '\u001B', 'control characters do not reach the terminal');
 	const json = await run(['status', ...atEntry(entry.url), '--json']);
@@ -78,7 +97,8 @@
 	t.equal(code, 0);
 	t.same(explainRequestSchema.parse(JSON.parse(entry.bodies[0] ?? '')), {workspace: 'readings', model: 'drafting', prompt: 'නිවේදනය'});
 	t.match(out, /The request would run\.\n/u);
-	t.match(out, /drafting-1-0 .* prefix home, chosen\ndrafting-2-0 .* closed\n/u);
+	t.match(out, /drafting-1-0 +colombo-a +prefix-home +54\.5 +52\.5 +30 +10 +12 +0\.5 +1 +2 +60 +700 ms +chosen\n/u);
+	t.match(out, /drafting-2-0 +closed\n/u);
 	entry.close();
 });
 
--- a/packages/cli/src/admin-schema.ts
+++ b/packages/cli/src/admin-schema.ts
@@ -23,6 +23,8 @@
 	state: z.enum(['live', 'suspected', 'leaving', 'closed']),
 	rulesVersion: z.number().int().nonnegative().optional(),
 	load: machineLoadSchema.optional(),
+	/** Milliseconds since that report arrived. */
+	reportAgeMs: count.optional(),
 	/** Duration of the last steps in milliseconds. */
 	stepMs: count.optional(),
 	/** Version of the expert map in force. */
@@ -72,28 +74,37 @@
 	prompt: z.string(),
 });
 
-/** One endpoint that was considered. Times are in milliseconds. */
+/** The cost of one endpoint that was considered, term by term as routing adds them up, in milliseconds. */
 export const candidateSchema = z.object({
 	id: z.string(),
 	zone: z.string(),
-	/** Why it takes no part, for example `closed` or `leaving`; left out when it takes part. */
-	excluded: z.string().optional(),
-	/** Queue and own work since the last report, divided by its rate. */
+	/** Where it came from, for example `random` or `prefix-home`. */
+	source: z.string(),
+	/** Reported queue over its rate. */
+	queueMs: count,
+	/** This entry's work since the report over its rate. */
+	ownMs: count,
+	/** Prompt tokens that its cache is not expected to hold, over its rate. */
+	prefillMs: count,
+	zoneMs: count,
+	/** Step time over the median step time; a factor of at least 1. */
+	straggler: count,
+	/** The terms above times the factor. */
 	waitMs: count,
-	prefillTokens: count,
+	/** Penalty for more running work than the mean of the fleet. */
+	balanceMs: count,
+	/** Wait plus penalty; the lowest is chosen. */
+	costMs: count,
 	/** Prompt tokens that its cache is expected to hold. */
 	cachedTokens: count,
-	zoneDistanceMs: count,
-	/** 1 for an endpoint that keeps pace. */
-	stragglerFactor: count,
-	costMs: count,
-	isPrefixHome: z.boolean(),
-	isChosen: z.boolean(),
+	/** Age of the report that was used; left out without one. */
+	reportAgeMs: count.optional(),
 });
 
 /** Answer of `POST /admin/explain`: what would happen to such a request now. Nothing is run. */
 export const explainSchema = z.object({
 	workspace: z.string(),
+	/** The model as it was resolved, for example `drafting@2026-11`. */
 	model: z.string(),
 	rulesVersion: z.number().int().nonnegative(),
 	/** Refusal reason of section 3.2 with a text for people; left out when the request would run. */
@@ -102,8 +113,12 @@
 	priority: z.number().int().optional(),
 	/** The workspace's share now; left out without a limit. */
 	grant: z.object({tokensPerSecond: count, availableTokens: z.number()}).optional(),
-	promptTokens: count,
+	/** Endpoint that would get the request; left out when none would. */
+	chosen: z.string().optional(),
+	/** Cheapest first. */
 	candidates: z.array(candidateSchema),
+	/** Endpoints that were not considered and why, for example `closed` or `leaving`. */
+	leftOut: z.array(z.object({id: z.string(), reason: z.string()})),
 	/** Further steps of the decision, one sentence each. */
 	notes: z.array(z.string()),
 });
--- a/packages/cli/src/entry-commands.ts
+++ b/packages/cli/src/entry-commands.ts
@@ -60,7 +60,7 @@
 		machines.length === 0
 			? 'No machines.\n'
 			: formatTable(
-				['MACHINE', 'ZONE', 'ROLE', 'GROUP', 'RANKS', 'STATE', 'RULES', 'MAP', 'QUEUED', 'RUNNING', 'TOKENS/S', 'STEP MS'],
+				['MACHINE', 'ZONE', 'ROLE', 'GROUP', 'RANKS', 'STATE', 'RULES', 'MAP', 'QUEUED', 'RUNNING', 'TOKENS/S', 'STEP MS', 'REPORT'],
 				machines.map(machine => machineRow(machine)),
 			),
 		drains.length === 0
@@ -87,6 +87,7 @@
 		formatNumber(machine.load?.running),
 		formatNumber(machine.load?.tokensPerSecond),
 		formatNumber(machine.stepMs),
+		formatAge(machine.reportAgeMs),
 	];
 }
 
@@ -106,33 +107,35 @@
 		refusal === undefined ? 'The request would run.' : `The request would be refused: ${refusal.code}: ${refusal.message}`,
 		`Workspace ${answer.workspace}, priority ${formatNumber(answer.priority)}, model ${answer.model}, rules version ${answer.rulesVersion}`,
 		grant === undefined ? 'No limit applies.' : `Limit: ${formatNumber(grant.tokensPerSecond)} tokens/s now, ${formatNumber(grant.availableTokens)} tokens available`,
-		`Prompt: ${answer.promptTokens} tokens`,
 		...answer.notes,
 	];
-	const table = answer.candidates.length === 0
-		? 'No endpoint serves this model.\n'
-		: formatTable(
-			['ENDPOINT', 'ZONE', 'COST MS', 'WAIT MS', 'PREFILL', 'CACHED', 'DISTANCE MS', 'STRAGGLER', 'NOTE'],
-			answer.candidates.map(candidate => candidateRow(candidate)),
-		);
-	return `${head.map(line => `${toPlain(line)}\n`).join('')}\n${table}`;
+	const tables = [
+		answer.candidates.length === 0
+			? 'No endpoint was considered.\n'
+			: formatTable(
+				['CANDIDATE', 'ZONE', 'SOURCE', 'COST MS', 'WAIT MS', 'QUEUE', 'OWN', 'PREFILL', 'ZONE MS', 'STRAGGLER', 'BALANCE', 'CACHED', 'REPORT', ''],
+				answer.candidates.map(candidate => candidateRow(candidate, answer.chosen)),
+			),
+		...(answer.leftOut.length === 0 ? [] : [formatTable(['LEFT OUT', 'REASON'], answer.leftOut.map(({id, reason}) => [id, reason]))]),
+	];
+	return `${head.map(line => `${toPlain(line)}\n`).join('')}\n${tables.join('\n')}`;
 }
 
-function candidateRow(candidate: Candidate): readonly string[] {
-	const notes = [
-		...(candidate.excluded === undefined ? [] : [candidate.excluded]),
-		...(candidate.isPrefixHome ? ['prefix home'] : []),
-		...(candidate.isChosen ? ['chosen'] : []),
-	];
+function candidateRow(candidate: Candidate, chosen: string | undefined): readonly string[] {
 	return [
 		candidate.id,
 		candidate.zone,
+		candidate.source,
 		formatNumber(candidate.costMs),
 		formatNumber(candidate.waitMs),
-		formatNumber(candidate.prefillTokens),
+		formatNumber(candidate.queueMs),
+		formatNumber(candidate.ownMs),
+		formatNumber(candidate.prefillMs),
+		formatNumber(candidate.zoneMs),
+		formatNumber(candidate.straggler),
+		formatNumber(candidate.balanceMs),
 		formatNumber(candidate.cachedTokens),
-		formatNumber(candidate.zoneDistanceMs),
-		formatNumber(candidate.stragglerFactor),
-		notes.join(', '),
+		formatAge(candidate.reportAgeMs),
+		candidate.id === chosen ? 'chosen' : '',
 	];
 }
