Test the map change protocol at its phases and message by message

Cause: random faults seldom struck between gate and go, so a release of the arbiter's engine before the others survived 2,000 runs. Change: commands that strike once a leader has reached a phase; a table of single messages for fence, freeze, arbiter, restart and lease.

--- a/packages/expertmap/__tests__/group-simulation.ts
+++ b/packages/expertmap/__tests__/group-simulation.ts
@@ -4,7 +4,7 @@
  */
 import {unsafeUniformIntDistribution, xoroshiro128plus, type RandomGenerator} from 'pure-rand';
 import {
-	ENGINE_TIMEOUT_MS, HOLD_LIMIT_MS, HOLD_QUERY_MS, MapLeader, MapMember, RECONCILE_MS,
+	MapLeader, MapMember,
 	type EngineAnswer, type EngineEffect, type LeaderEffect, type MapMessage, type MapRecord, type MemberEffect,
 } from '#expertmap';
 import {EngineRank, LockStepGroup} from '#standins-engine';
@@ -12,6 +12,8 @@
 const TICK_MS = 10;
 const STEP_MS = 50;
 const LEASE_MS = 3000;
+/** Design bound on a hold of 5 s, a turn of 500 ms for each of four members, one query, one state read and one engine timeout. */
+const HOLD_BOUND_MS = 5000 + 2000 + 500 + 1000 + 1000;
 const map = {slots: []};
 
 type Process = {
@@ -42,7 +44,7 @@
 	proposals = 0;
 	/** Violations of the oracles that are checked all the time. */
 	readonly violations: string[] = [];
-	record: MapRecord = {installed: {version: 1, map}};
+	record: MapRecord = {installed: {version: 1, map}, fence: 0};
 	readonly group: LockStepGroup;
 	readonly #random: RandomGenerator;
 	readonly #processes = new Map<string, Process>();
@@ -119,6 +121,20 @@
 		return `${states.join('\n')}\n${phases.join(' ')} record ${this.record.installed.version} planned ${this.record.planned?.version ?? '-'} at ${this.now}`;
 	}
 
+	/** Endpoint whose leader is at work, if any. */
+	get leader(): string | undefined {
+		return this.#running().find(process => process.leader !== undefined && process.leader.phase !== 'lapsed')?.id;
+	}
+
+	/** Runs until a leader is in the given phase, at most 2 s. */
+	runUntil(phase: MapLeader['phase']): void {
+		this.proposals += 1;
+		const end = this.now + 2000;
+		while (this.now < end && !this.#running().some(process => process.leader?.phase === phase)) {
+			this.run(TICK_MS);
+		}
+	}
+
 	/** Ends all faults and brings back what has died. */
 	heal(): void {
 		this.proposals = 0;
@@ -163,7 +179,7 @@
 		const kind = this.ids.indexOf(id) % 2 === 0 ? 'ignores-fence' : 'checks-fence';
 		const members = epoch === 0 ? [] : this.ids;
 		return EngineRank.create({
-			id, kind, epoch, members, mapVersion: epoch, loadMs: 300,
+			id, kind, epoch, members, mapVersion: epoch, loadMs: 50,
 		});
 	}
 
@@ -325,7 +341,6 @@
 		const isFlowing = this.loss === 0 && this.maxDelayMs <= 5 && this.isolated.size === 0 && this.socketDelayMs.size === 0
 			&& this.#running().length === this.ids.length && this.ids.every(id => this.group.rank(id) !== undefined);
 		this.#flowingSince = isFlowing ? this.#flowingSince : this.now;
-		const bound = HOLD_LIMIT_MS + ((this.ids.length + 2) * HOLD_QUERY_MS) + RECONCILE_MS + ENGINE_TIMEOUT_MS;
 		for (const id of this.ids) {
 			const held = this.group.rank(id)?.held === true;
 			const since = held ? this.#heldSince.get(id) ?? this.now : undefined;
@@ -333,7 +348,7 @@
 				this.#heldSince.delete(id);
 			} else {
 				this.#heldSince.set(id, since);
-				if (this.now - Math.max(since, this.#flowingSince) > bound) {
+				if (this.now - Math.max(since, this.#flowingSince) > HOLD_BOUND_MS) {
 					this.violations.push(`${id} held since ${since}, now ${this.now}`);
 					this.#heldSince.set(id, this.now);
 				}
--- a/packages/expertmap/__tests__/unit/change.fuzz.test.ts
+++ b/packages/expertmap/__tests__/unit/change.fuzz.test.ts
@@ -3,6 +3,7 @@
 import fc from 'fast-check';
 import t from 'tap';
 import {GroupSimulation} from '../group-simulation.js';
+import type {MapLeader} from '#expertmap';
 
 const SEED = Number(process.env.FUZZ_SEED ?? 20_261);
 const RUNS = Number(process.env.FUZZ_RUNS ?? 300);
@@ -41,7 +42,77 @@
 const id = fc.constantFrom('a', 'b', 'c', 'd');
 const wait = fc.integer({min: 1, max: 150}).map(n => n * 10);
 const long = fc.integer({min: 1, max: 80}).map(n => n * 100);
+const phases: ReadonlyArray<MapLeader['phase']> = ['gating', 'gating', 'going', 'going', 'going', 'cancelling', 'inviting', 'preparing'];
+const phase = fc.constantFrom(...phases);
+/** The leader's endpoint, or a fixed one, so that shrinking keeps the role. */
+const victim = fc.constantFrom('leader', 'leader', 'a', 'b', 'c', 'd');
+const target = (real: GroupSimulation, name: string) => name === 'leader' ? real.leader ?? 'a' : name;
+const short = fc.integer({min: 1, max: 12}).map(n => n * 10);
+
+/** Faults that strike a chosen time after a change has reached a phase. */
+const timed = fc.tuple(phase, victim, short, wait, long, fc.constantFrom('pause', 'kill', 'restart', 'isolate', 'late', 'slow', 'engine', 'loss')).map(([phase, name, after, ms, length, fault]) => command(`at ${phase} +${after} ${fault} ${name} ${length}`, ms, real => {
+	real.runUntil(phase);
+	const id = target(real, name);
+	if (fault === 'late' || fault === 'slow') {
+		real.socketDelayMs.set(id, length);
+	}
+
+	real.run(after);
+	strike(real, fault, id, length);
+}));
+
+function strike(real: GroupSimulation, fault: string, id: string, length: number): void {
+	switch (fault) {
+		case 'pause': {
+			real.pause(id, length);
+			break;
+		}
+
+		case 'kill': {
+			real.kill(id);
+			break;
+		}
+
+		case 'restart': {
+			real.kill(id);
+			real.restart(id);
+			break;
+		}
+
+		case 'late': {
+			real.kill(id);
+			real.socketDelayMs.delete(id);
+			real.restart(id);
+			break;
+		}
+
+		case 'isolate': {
+			real.isolated = new Set([id]);
+			break;
+		}
+
+		case 'engine': {
+			real.killEngine(id);
+			break;
+		}
+
+		case 'loss': {
+			real.loss = 60;
+			break;
+		}
+
+		default: {
+			break;
+		}
+	}
+}
+
 const actions = [
+	timed,
+	timed,
+	timed,
+	timed,
+	timed,
 	fc.tuple(fc.integer({min: 1, max: 20}), wait).map(([count, ms]) => command(`propose ${count}`, ms, real => {
 		real.proposals += count;
 	})),
@@ -88,7 +159,10 @@
 	})),
 ];
 
-await t.test('all ranks use one map in every step, holds are bounded and every change settles', t => {
+// The number of runs is set from outside, so the runner's limit applies instead of tap's default.
+t.setTimeout(0);
+
+await t.test('all ranks use one map in every step, holds are bounded and every change settles', {timeout: 0}, t => {
 	let changes = 0;
 	fc.assert(fc.property(fc.integer(), fc.commands(actions, {maxCommands: 30}), (seed, commands) => {
 		const real = new GroupSimulation(MEMBERS, seed);
--- /dev/null
+++ b/packages/expertmap/__tests__/unit/member.test.ts
@@ -0,0 +1,170 @@
+import t from 'tap';
+import {
+	MapLeader, MapMember, type LeaderEffect, type MapMessage, type MemberEffect,
+} from '#expertmap';
+import {EngineRank} from '#standins-engine';
+
+const map = {slots: []};
+const members = ['a', 'b', 'c'];
+const header = {
+	group: 'g', version: 2, step: 9, epoch: 1, fence: 5,
+};
+const gate: MapMessage = {...header, kind: 'map-gate', arbiter: 'a'};
+const go: MapMessage = {...header, kind: 'map-go'};
+const query: MapMessage = {...header, kind: 'map-query', round: 1};
+const cancel: MapMessage = {...header, kind: 'map-cancel'};
+
+/** A member with its engine; engine calls are answered at once unless `isMute`. */
+class Harness {
+	/** A member that holds the gate of a change led by `a`. */
+	static gated(id: string): Harness {
+		const harness = new Harness(id);
+		harness.learn(5);
+		harness.hear('a', [{...header, kind: 'map-prepare', map}, gate]);
+		return harness;
+	}
+
+	readonly rank: EngineRank;
+	isMute = false;
+	sent: Array<readonly [to: string, message: MapMessage]> = [];
+	#member: MapMember;
+
+	constructor(id: string, kind: 'checks-fence' | 'ignores-fence' = 'ignores-fence') {
+		this.rank = EngineRank.create({
+			id, kind, epoch: 1, members, mapVersion: 1,
+		});
+		this.#member = this.#create();
+		this.restart();
+	}
+
+	restart(): void {
+		this.#member = this.#create();
+		this.tick(0);
+	}
+
+	tick(now: number): void {
+		this.#perform(this.#member.tick(now), now);
+	}
+
+	learn(fence: number): void {
+		this.#perform(this.#member.learnFence(fence, 0), 0);
+	}
+
+	/** Passes messages in and returns the kinds (and reasons) of the answers to `from`. */
+	hear(from: string, messages: readonly MapMessage[], now = 0): readonly string[] {
+		this.sent = [];
+		for (const message of messages) {
+			this.#perform(this.#member.handle(from, message, now), now);
+		}
+
+		return this.sent.filter(([to]) => to === from).map(([, message]) => message.kind === 'map-refused' ? message.reason : message.kind);
+	}
+
+	#create(): MapMember {
+		return MapMember.create({
+			group: 'g', id: this.rank.id, peers: members.filter(id => id !== this.rank.id), random: () => 0.5,
+		}, 0);
+	}
+
+	#perform(effects: readonly MemberEffect[], now: number): void {
+		for (const effect of effects) {
+			if (effect.kind === 'send') {
+				this.sent.push([effect.to, effect.message]);
+			} else if (!this.isMute) {
+				const answer = effect.kind === 'order' ? this.rank.order(effect.order, now) : {kind: 'state' as const, state: this.rank.state(now)};
+				this.#perform(this.#member.engineAnswered(effect.token, answer, now), now);
+			}
+		}
+	}
+}
+
+await t.test('a member orders nothing before it has learned the fence', t => {
+	const harness = new Harness('b');
+	t.same(harness.hear('a', [{...header, kind: 'map-prepare', map}]), ['fence-unknown']);
+	harness.learn(6);
+	t.same(harness.hear('a', [{...header, kind: 'map-prepare', map}]), ['fence'], 'a leader that has lost its lease is refused');
+	t.same(harness.hear('a', [{
+		...header, fence: 6, kind: 'map-prepare', map,
+	}]), ['map-prepared']);
+	t.end();
+});
+
+await t.test('what a gated member answers', t => {
+	const cases: ReadonlyArray<readonly [guard: string, from: string, messages: readonly MapMessage[], expected: readonly string[]]> = [
+		['the leader\'s go is executed', 'a', [go], ['map-gone']],
+		['go with an old fence is refused', 'a', [{...go, fence: 4}], ['fence']],
+		['go of another epoch is refused', 'a', [{...go, epoch: 2}], ['no-gate']],
+		['go after an answer to a query is refused, since peers may cancel on that answer', 'a', [query, go], ['map-state', 'frozen']],
+		['cancel drops the version, so that no late order can bring it back', 'a', [cancel, gate, go], ['map-cancelled', 'too-late', 'frozen']],
+		['cancel after go reports go', 'a', [go, cancel], ['map-gone', 'map-gone']],
+		['a gate for another change is refused', 'a', [{...gate, version: 3}], ['busy']],
+	];
+	for (const [guard, from, messages, expected] of cases) {
+		t.same(Harness.gated('b').hear(from, messages), expected, guard);
+	}
+
+	t.end();
+});
+
+await t.test('the arbiter releases its engine last', t => {
+	const done = (kind: 'map-gone' | 'map-cancelled'): MapMessage => ({...header, kind});
+	for (const [ask, kind] of [[go, 'map-gone'], [cancel, 'map-cancelled']] as const) {
+		const harness = Harness.gated('a');
+		t.same(harness.hear('a', [ask]), ['not-last'], `${ask.kind} with no other confirmed`);
+		harness.hear('b', [done(kind)]);
+		t.same(harness.hear('a', [ask]), ['not-last'], `${ask.kind} with one of two confirmed`);
+		harness.hear('c', [done(kind)]);
+		t.same(harness.hear('a', [ask]), [kind], `${ask.kind} with all others confirmed`);
+	}
+
+	t.end();
+});
+
+await t.test('a member answers cancelled only after its engine has confirmed', t => {
+	const harness = Harness.gated('b');
+	harness.isMute = true;
+	t.same(harness.hear('a', [cancel]), []);
+	t.end();
+});
+
+await t.test('after a restart the arbiter is unknown and the engine is not released', t => {
+	const harness = Harness.gated('b');
+	harness.restart();
+	t.same(harness.hear('a', [go, cancel]), ['not-last', 'not-last']);
+	t.end();
+});
+
+await t.test('a gated member queries its peers after 500 ms of silence, not before', t => {
+	const harness = Harness.gated('b');
+	for (const [now, count] of [[490, 0], [500, 2]] as const) {
+		harness.sent = [];
+		harness.tick(now);
+		t.equal(harness.sent.filter(([, message]) => message.kind === 'map-query').length, count, `at ${now} ms`);
+	}
+
+	t.end();
+});
+
+await t.test('a call into a new epoch is followed only when a member of the present one makes it', t => {
+	const reform: MapMessage = {
+		...header, kind: 'map-reform', version: 1, epoch: 7, members, base: members, initiator: 'x',
+	};
+	t.same(Harness.gated('b').hear('x', [reform]), ['epoch']);
+	t.same(Harness.gated('b').hear('a', [{...reform, initiator: 'a'}]), ['map-reformed']);
+	t.end();
+});
+
+await t.test('a leader whose lease has ended sends nothing, and one whose first write conflicts stops', t => {
+	const create = () => MapLeader.create({
+		group: 'g', id: 'a', members, fence: 5, leaseUntil: 100, record: {installed: {version: 1, map}, fence: 4}, random: () => 0.5,
+	}, 0);
+	const kinds = (effects: readonly LeaderEffect[]) => new Set(effects.map(effect => effect.kind));
+	const paused = create();
+	t.same(paused.tick(100), []);
+	t.equal(paused.propose(map, 100).kind, 'failed');
+	const late = create();
+	t.same(kinds(late.tick(0)), new Set(['record', 'send']), 'the first write precedes any order');
+	t.same(late.recorded(1, 'conflict', 1), []);
+	t.equal(late.phase, 'lapsed');
+	t.end();
+});
--- a/packages/expertmap/src/index.ts
+++ b/packages/expertmap/src/index.ts
@@ -6,6 +6,5 @@
 export type {MemberEffect, MemberOptions} from './member-core.js';
 export {MapMember, type MemberStatus} from './member.js';
 export {mainEpoch, type MapRecord, type VersionedMap} from './leader-phase.js';
-export {
-	MapLeader, type LeaderEffect, type LeaderOptions, type ProposalRefusal, type RecordOutcome,
-} from './leader.js';
+export type * from './leader-options.js';
+export {MapLeader} from './leader.js';
--- a/packages/expertmap/src/leader-phase.ts
+++ b/packages/expertmap/src/leader-phase.ts
@@ -13,6 +13,8 @@
 	readonly installed: VersionedMap;
 	/** Change that was begun and whose result is not recorded yet. */
 	readonly planned?: VersionedMap;
+	/** Fence of the leader that wrote the record. */
+	readonly fence: number;
 };
 
 /** Messages that are repeated to the endpoints that have not answered. */
--- a/packages/expertmap/src/leader.ts
+++ b/packages/expertmap/src/leader.ts
@@ -8,61 +8,22 @@
 	mainEpoch, planJoin, settledVersion, type LeaderPhase, type MapRecord, type Round,
 } from './leader-phase.js';
 import {
-	GATE_LIMIT_MS, GO_LIMIT_MS, HOLD_LIMIT_MS, HOLD_QUERY_MS, PREPARE_LIMIT_MS, RECONCILE_MS, RECORD_RETRY_MS, RESEND_MS,
+	GO_LIMIT_MS, HOLD_QUERY_MS, RECONCILE_MS, RECORD_RETRY_MS, RESEND_MS,
 } from './limits.js';
+import {
+	AWAITED, consequenceOf, isTally, subjectOf, tallyMessage, tallyTimes, type Subject, type TallyPhase,
+} from './leader-messages.js';
+import type {
+	LeaderEffect, LeaderOptions, ProposalRefusal, RecordOutcome,
+} from './leader-options.js';
 import type {MapMessage, MapMessageOf} from './messages.js';
 import {PeerViews} from './peer-views.js';
 import {nextEpoch} from './reform.js';
 import {failed, ok, type Result} from '#core';
 
-/** What the driver does for a leader: `record` is a conditional update of `groups/NAME/map`. */
-export type LeaderEffect
-	= | {readonly kind: 'send'; readonly to: string; readonly message: MapMessage}
-		| {readonly kind: 'record'; readonly id: number; readonly record: MapRecord};
-
-/** Outcome of a `record` effect after reading back: `conflict` if another process has written the object. */
-export type RecordOutcome = 'done' | 'conflict' | 'unavailable';
-
-/** Settings of a leader. */
-export type LeaderOptions = {
-	readonly group: string;
-	/** Id of this endpoint, which holds the lease. */
-	readonly id: string;
-	/** Ids of all endpoints of the group, this one included. */
-	readonly members: readonly string[];
-	/** Fencing number of the lease. */
-	readonly fence: number;
-	/** End of the lease, ms. */
-	readonly leaseUntil: number;
-	/** Value of `groups/NAME/map` when the lease was taken. */
-	readonly record: MapRecord;
-	/** Returns a number in [0, 1). */
-	readonly random: () => number;
-	/** Steps between the current one and the gate; default 10, which is 500 ms at 50 ms a step. */
-	readonly marginSteps?: number;
-	/** Time for loading experts, ms; default 120,000. */
-	readonly prepareLimitMs?: number;
-};
-
-/** Why a proposed map is not taken on. */
-export type ProposalRefusal = 'busy' | 'lapsed' | 'outside-epoch';
-
-/** A phase that waits for answers to repeated messages. */
-type TallyPhase = Extract<LeaderPhase, Round & {readonly sentAt: number}>;
-
-/** Answer that each such phase waits for. */
-const AWAITED = {
-	preparing: 'map-prepared', joining: 'map-prepared', gating: 'map-gated', going: 'map-gone', cancelling: 'map-cancelled',
-} as const;
-
 /** Distinguishes the leader's rounds of queries from those of the member in the same process. */
 const FIRST_ROUND = 1_000_000_000;
 
-/** Refusals that repeating the message may overcome. */
-const TEMPORARY: ReadonlySet<string> = new Set(['fence-unknown', 'engine-down', 'busy', 'not-last']);
-
-type Subject = Pick<MapMessage, 'version' | 'step' | 'epoch'>;
-
 /** The leader of one group for the time of one lease. */
 export class MapLeader {
 	static create(options: LeaderOptions, now: number): MapLeader {
@@ -82,6 +43,8 @@
 		this.#views = PeerViews.create(options.members, FIRST_ROUND);
 		this.#record = options.record;
 		this.#leaseUntil = options.leaseUntil;
+		// The first write makes a conditional update fail that the leader before may still have under way.
+		this.#save(options.record, now);
 		this.#query(now);
 	}
 
@@ -140,10 +103,11 @@
 		} else if (outcome === 'done') {
 			this.#record = phase.value;
 			this.#phase = phase.next === undefined
-				? {kind: 'idle'}
+				? {kind: 'settling'}
 				: {
 					...phase.next, kind: 'preparing', since: now, sentAt: -Infinity, done: new Set(),
 				};
+			this.#query(now);
 		}
 
 		return this.tick(now);
@@ -155,35 +119,13 @@
 			return [];
 		}
 
-		switch (message.kind) {
-			case 'map-state': {
-				this.#views.answered(from, message.round, message.state, now);
-				this.#onState(from, message, now);
-				break;
-			}
-
-			case 'map-prepared':
-			case 'map-gated':
-			case 'map-gone':
-			case 'map-cancelled': {
-				this.#onDone(from, message, now);
-				break;
-			}
-
-			case 'map-refused': {
-				this.#onRefused(message, now);
-				break;
-			}
-
-			case 'map-prepare':
-			case 'map-gate':
-			case 'map-go':
-			case 'map-cancel':
-			case 'map-query':
-			case 'map-reform':
-			case 'map-reformed': {
-				break;
-			}
+		if (message.kind === 'map-state') {
+			this.#views.answered(from, message.round, message.state, now);
+			this.#onState(from, message, now);
+		} else if (message.kind === 'map-refused') {
+			this.#onRefused(message, now);
+		} else {
+			this.#onDone(from, message, now);
 		}
 
 		return this.tick(now);
@@ -218,6 +160,11 @@
 
 	#advance(now: number): void {
 		const phase = this.#phase;
+		if (isTally(phase)) {
+			this.#advanceTally(phase, now);
+			return;
+		}
+
 		switch (phase.kind) {
 			case 'settling': {
 				this.#settle(now);
@@ -250,15 +197,6 @@
 				break;
 			}
 
-			case 'preparing':
-			case 'gating':
-			case 'going':
-			case 'cancelling':
-			case 'joining': {
-				this.#advanceTally(phase, now);
-				break;
-			}
-
 			case 'lapsed': {
 				break;
 			}
@@ -271,21 +209,14 @@
 			return;
 		}
 
-		const limits = {
-			preparing: this.#options.prepareLimitMs ?? PREPARE_LIMIT_MS,
-			gating: GATE_LIMIT_MS,
-			going: GO_LIMIT_MS,
-			cancelling: HOLD_LIMIT_MS,
-			joining: this.#options.prepareLimitMs ?? PREPARE_LIMIT_MS,
-		};
-		if (now - phase.since >= limits[phase.kind]) {
-			this.#onTimeout(phase, now);
-			return;
-		}
-
-		// A map is large, so it is repeated less often than the other messages.
-		const interval = phase.kind === 'preparing' || phase.kind === 'joining' ? RECONCILE_MS : RESEND_MS;
-		if (now - phase.sentAt >= interval) {
+		const {limitMs, resendMs} = tallyTimes(phase, this.#options.prepareLimitMs);
+		if (now - phase.since >= limitMs) {
+			if (phase.kind === 'preparing' || phase.kind === 'gating') {
+				this.#cancel(phase, now);
+			} else {
+				this.#beginSettling(now);
+			}
+		} else if (now - phase.sentAt >= resendMs) {
 			this.#phase = {...phase, sentAt: now};
 			this.#sendTally(phase);
 		}
@@ -294,37 +225,10 @@
 	#sendTally(phase: TallyPhase): void {
 		const waiting = phase.members.filter(id => !phase.done.has(id));
 		for (const id of waiting) {
-			this.#sendTo(id, phase, waiting.length === 1);
-		}
-	}
-
-	#sendTo(id: string, phase: TallyPhase, isLast: boolean): void {
-		const subject = {version: phase.plan.version, step: 'step' in phase ? phase.step : 0, epoch: phase.epoch};
-		const header = this.#header(subject);
-		switch (phase.kind) {
-			case 'preparing':
-			case 'joining': {
-				this.#send(id, {...header, kind: 'map-prepare', map: phase.plan.map});
-				break;
-			}
-
-			case 'gating': {
-				this.#send(id, {...header, kind: 'map-gate', arbiter: this.#options.id});
-				break;
-			}
-
-			case 'going': {
-				// The own engine goes last: until all others have gone, it holds the group at the gate.
-				if (id !== this.#options.id || isLast) {
-					this.#send(id, {...header, kind: 'map-go'});
-				}
-
-				break;
-			}
-
-			case 'cancelling': {
-				this.#send(id, {...header, kind: 'map-cancel'});
-				break;
+			const message = tallyMessage(phase, this.#header(subjectOf(phase)), this.#options.id);
+			// The own engine goes last: until all others have gone, it holds the group at the gate.
+			if (phase.kind !== 'going' || id !== this.#options.id || waiting.length === 1) {
+				this.#send(id, message);
 			}
 		}
 	}
@@ -364,14 +268,6 @@
 		}
 	}
 
-	#onTimeout(phase: TallyPhase, now: number): void {
-		if (phase.kind === 'preparing' || phase.kind === 'gating') {
-			this.#cancel(phase, now);
-		} else {
-			this.#beginSettling(now);
-		}
-	}
-
 	#begin(phase: TallyPhase, now: number): void {
 		this.#phase = {
 			...phase, since: now, sentAt: -Infinity, done: new Set(),
@@ -386,9 +282,9 @@
 		}, now);
 	}
 
-	#onDone(from: string, message: MapMessageOf<'map-prepared' | 'map-gated' | 'map-gone' | 'map-cancelled'>, now: number): void {
+	#onDone(from: string, message: MapMessage, now: number): void {
 		const phase = this.#phase;
-		if (!('plan' in phase) || !('done' in phase) || message.version !== phase.plan.version || message.epoch !== phase.epoch) {
+		if (!isTally(phase) || message.version !== phase.plan.version || message.epoch !== phase.epoch) {
 			return;
 		}
 
@@ -403,15 +299,14 @@
 
 	#onRefused(message: MapMessageOf<'map-refused'>, now: number): void {
 		const phase = this.#phase;
-		const isAbout = 'plan' in phase && message.version === phase.plan.version && message.epoch === phase.epoch;
-		if (!isAbout || TEMPORARY.has(message.reason)) {
+		if (!isTally(phase)) {
 			return;
 		}
 
-		const isOfChange = (phase.kind === 'preparing' && message.of === 'prepare') || (phase.kind === 'gating' && message.of === 'gate');
-		if (isOfChange) {
+		const consequence = consequenceOf(phase, message);
+		if (consequence === 'cancel') {
 			this.#cancel(phase, now);
-		} else if (phase.kind === 'cancelling' || phase.kind === 'joining') {
+		} else if (consequence === 'settle') {
 			this.#beginSettling(now);
 		}
 	}
@@ -493,7 +388,8 @@
 		}
 	}
 
-	#save(value: MapRecord, now: number, next?: Round): void {
+	#save(content: Omit<MapRecord, 'fence'>, now: number, next?: Round): void {
+		const value = {...content, fence: this.#options.fence};
 		this.#recordId += 1;
 		this.#phase = {
 			kind: 'recording', id: this.#recordId, value, sentAt: now, ...(next === undefined ? {} : {next}),
--- a/packages/expertmap/src/reform.ts
+++ b/packages/expertmap/src/reform.ts
@@ -65,9 +65,17 @@
 	return ranked.find(version => states.some(state => hasGone(state, version))) ?? ranked[0];
 }
 
-/** The epoch that the reachable members can form, or undefined without a quorum or a common map. */
+/**
+ * The epoch that the reachable members can form, or undefined without a quorum or a
+ * common map. Peers of another epoch are left out if they share no map with this one.
+ */
 export function planReform(input: ReformInput): ReformPlan | undefined {
 	const peers = barrierPeers(input);
+	const sameEpoch = new Map([...peers].filter(([, state]) => state.epoch === input.state.epoch));
+	return planWith(peers, input) ?? planWith(sameEpoch, input);
+}
+
+function planWith(peers: ReadonlyMap<string, EngineState>, input: ReformInput): ReformPlan | undefined {
 	const members = [input.self, ...peers.keys()].toSorted();
 	const states = [input.state, ...peers.values()];
 	const version = commonVersion(states);
