--- a/packages/expertmap/__tests__/unit/change.fuzz.test.ts
+++ b/packages/expertmap/__tests__/unit/change.fuzz.test.ts
@@ -50,7 +50,8 @@
 const short = fc.integer({min: 1, max: 12}).map(n => n * 10);
 
 /** Faults that strike a chosen time after a change has reached a phase. */
-const timed = fc.tuple(phase, victim, short, wait, long, fc.constantFrom('pause', 'kill', 'restart', 'isolate', 'late', 'slow', 'engine', 'loss')).map(([phase, name, after, ms, length, fault]) => command(`at ${phase} +${after} ${fault} ${name} ${length}`, ms, real => {
+const fault = fc.constantFrom('pause', 'kill', 'restart', 'isolate', 'late', 'slow', 'engine', 'loss');
+const timed = fc.tuple(phase, victim, short, wait, long, fault).map(([phase, name, after, ms, length, fault]) => command(`at ${phase} +${after} ${fault} ${name} ${length}`, ms, real => {
 	real.runUntil(phase);
 	const id = target(real, name);
 	if (fault === 'late' || fault === 'slow') {
--- /dev/null
+++ b/packages/expertmap/__tests__/unit/planner.test.ts
@@ -0,0 +1,119 @@
+import t from 'tap';
+import {
+	countCopies, countMoves, greedyPlan, matchRanks, rankLoads, RebalancePlanner, skewOf, staticSpread, type ExpertMap, type PlannerOptions,
+} from '#expertmap';
+
+const EXPERTS = 64;
+const RANKS = 64;
+const SLOTS = 2;
+const HOUR_MS = 3_600_000;
+
+const zipf = Array.from({length: EXPERTS}, (_, index) => 1000 / (index + 1));
+const even = Array.from({length: EXPERTS}, () => 100);
+const start: ExpertMap = {slots: [staticSpread(EXPERTS, RANKS, SLOTS)]};
+const options: PlannerOptions = {skewWeight: 1, moveWeight: 0.02};
+
+/** Runs `count` intervals of five minutes and returns the map at the end and the moves of each interval. */
+function run(planner: RebalancePlanner, map: ExpertMap, load: (interval: number) => readonly number[], count: number, from = 0) {
+	const moves: number[] = [];
+	let current = map;
+	for (let interval = 0; interval < count; interval++) {
+		const decision = planner.plan(current, [load(interval)], from + (interval * 300_000));
+		moves.push(decision.kind === 'move' ? decision.moves : 0);
+		current = decision.kind === 'move' ? decision.map : current;
+	}
+
+	return {map: current, moves};
+}
+
+const skew = (map: ExpertMap, load: readonly number[]) => skewOf(rankLoads(map.slots[0] ?? [], load));
+const sum = (values: readonly number[]) => values.reduce((total, value) => total + value, 0);
+
+await t.test('an even load moves nothing', t => {
+	t.equal(sum(run(RebalancePlanner.create(options), start, () => even, 20).moves), 0);
+	t.end();
+});
+
+await t.test('a stable load moves nothing once the planner has adapted, with or without noise', t => {
+	// Noise without randomness: each expert's load swings by 3 % with its own phase.
+	const noisy = (interval: number) => zipf.map((load, expert) => load * (1 + (0.03 * Math.sin((interval * 2.4) + expert))));
+	for (const [name, load] of [['exact', () => zipf], ['noisy', noisy]] as const) {
+		const planner = RebalancePlanner.create(options);
+		const adapted = run(planner, start, load, 20);
+		t.ok(skew(adapted.map, zipf) < skew(start, zipf) / 2, `${name}: the skew is at least halved`);
+		t.equal(sum(run(planner, adapted.map, load, 50, 20 * 300_000).moves), 0, `${name}: then nothing moves`);
+	}
+
+	t.end();
+});
+
+await t.test('a change has to pay off for three intervals in a row', t => {
+	const {moves} = run(RebalancePlanner.create(options), start, () => zipf, 3);
+	t.same(moves.map(count => count > 0), [false, false, true]);
+	const flicker = (interval: number) => interval % 3 === 2 ? even : zipf;
+	t.equal(sum(run(RebalancePlanner.create({...options, patience: 4}), start, flicker, 2).moves), 0);
+	t.end();
+});
+
+await t.test('nothing moves in fixed hours, in local time and across midnight', t => {
+	const cases: ReadonlyArray<readonly [guard: string, options: Partial<PlannerOptions>, at: number, moves: boolean]> = [
+		['inside', {fixedHours: [{fromMinute: 300, toMinute: 420}]}, 5 * HOUR_MS, false],
+		['before', {fixedHours: [{fromMinute: 300, toMinute: 420}]}, 4 * HOUR_MS, true],
+		['at the end', {fixedHours: [{fromMinute: 300, toMinute: 420}]}, 7 * HOUR_MS, true],
+		['across midnight', {fixedHours: [{fromMinute: 1380, toMinute: 60}]}, 23.5 * HOUR_MS, false],
+		['local time', {fixedHours: [{fromMinute: 300, toMinute: 420}], utcOffsetMinutes: 330}, 0, false],
+	];
+	for (const [guard, partial, at, moves] of cases) {
+		const planner = RebalancePlanner.create({...options, ...partial});
+		t.equal(sum(run(planner, start, () => zipf, 5, at).moves) > 0, moves, guard);
+	}
+
+	t.end();
+});
+
+await t.test('no interval exceeds the move budget and every expert keeps a slot', t => {
+	const planner = RebalancePlanner.create({...options, moveWeight: 0, moveBudget: 7});
+	const {map, moves} = run(planner, start, () => zipf, 12);
+	t.ok(Math.max(...moves) <= 7, `at most 7 moves, got ${moves.join(' ')}`);
+	t.ok(Math.min(...countCopies(map.slots[0] ?? [], EXPERTS)) >= 1);
+	t.ok(map.slots[0]?.every(slots => slots.length === SLOTS));
+	t.end();
+});
+
+await t.test('a higher weight of moves makes fewer moves', t => {
+	const count = (moveWeight: number) => sum(run(RebalancePlanner.create({...options, moveWeight}), start, () => zipf, 20).moves);
+	t.ok(count(0.2) < count(0.01));
+	t.end();
+});
+
+await t.test('bad input is refused with its place and leaves the planner as it was', t => {
+	const planner = RebalancePlanner.create(options);
+	const cases: ReadonlyArray<readonly [load: ReadonlyArray<readonly number[]>, message: RegExp]> = [
+		[[], /0 layers, the map has 1/u],
+		[[zipf.with(3, Number.NaN)], /layer 0 has a value/u],
+		[[zipf.with(3, -1)], /layer 0 has a value/u],
+		[[[...zipf, 1]], /expert 64 has none/u],
+		[[zipf.slice(1)], /found a higher number/u],
+	];
+	for (const [load, message] of cases) {
+		t.throws(() => planner.plan(start, load, 0), {message});
+	}
+
+	t.throws(() => RebalancePlanner.create({...options, skewWeight: Number.NaN}), {message: /weights and budget/u});
+	t.throws(() => RebalancePlanner.create({...options, patience: 0}), {message: /patience/u});
+	t.throws(() => RebalancePlanner.create({...options, fixedHours: [{fromMinute: -1, toMinute: 2}]}), {message: /fixed hours/u});
+	t.throws(() => staticSpread(3, 1, 2), {message: /3 experts need more/u});
+	t.equal(planner.plan(start, [[...even].fill(0)], 0).kind, 'keep', 'a layer without load is kept');
+	t.end();
+});
+
+await t.test('the greedy plan fills all slots, and renaming ranks saves moves without changing the skew', t => {
+	const former = greedyPlan(zipf, RANKS, SLOTS);
+	const next = greedyPlan(zipf.toReversed(), RANKS, SLOTS);
+	const matched = matchRanks(former, next);
+	t.equal(sum(countCopies(next, EXPERTS)), RANKS * SLOTS);
+	t.equal(skewOf(rankLoads(matched, zipf)), skewOf(rankLoads(next, zipf)));
+	t.ok(countMoves(former, matched) < countMoves(former, next));
+	t.equal(countMoves(former, former), 0);
+	t.end();
+});
--- a/packages/expertmap/src/index.ts
+++ b/packages/expertmap/src/index.ts
@@ -8,3 +8,8 @@
 export {mainEpoch, type MapRecord, type VersionedMap} from './leader-phase.js';
 export type * from './leader-options.js';
 export {MapLeader} from './leader.js';
+export * from './placement.js';
+export * from './spreads.js';
+export {
+	RebalancePlanner, type FixedHours, type PlanDecision, type PlannerOptions,
+} from './planner.js';
--- a/packages/expertmap/src/leader-messages.ts
+++ b/packages/expertmap/src/leader-messages.ts
@@ -24,6 +24,11 @@
 	return 'plan' in phase && 'done' in phase;
 }
 
+/** The tally of a phase that begins now and has sent nothing yet. */
+export function newTally(now: number): Pick<TallyPhase, 'since' | 'sentAt' | 'done'> {
+	return {since: now, sentAt: -Infinity, done: new Set()};
+}
+
 /** How long the phase may take and how often it repeats its message, ms. A map is large and is repeated less often. */
 export function tallyTimes(phase: TallyPhase, prepareLimitMs = PREPARE_LIMIT_MS): {readonly limitMs: number; readonly resendMs: number} {
 	const limits = {
--- a/packages/expertmap/src/leader.ts
+++ b/packages/expertmap/src/leader.ts
@@ -11,7 +11,7 @@
 	GO_LIMIT_MS, HOLD_QUERY_MS, RECONCILE_MS, RECORD_RETRY_MS, RESEND_MS,
 } from './limits.js';
 import {
-	AWAITED, consequenceOf, isTally, subjectOf, tallyMessage, tallyTimes, type Subject, type TallyPhase,
+	AWAITED, consequenceOf, isTally, newTally, subjectOf, tallyMessage, tallyTimes, type Subject, type TallyPhase,
 } from './leader-messages.js';
 import type {
 	LeaderEffect, LeaderOptions, ProposalRefusal, RecordOutcome,
@@ -104,9 +104,7 @@
 			this.#record = phase.value;
 			this.#phase = phase.next === undefined
 				? {kind: 'settling'}
-				: {
-					...phase.next, kind: 'preparing', since: now, sentAt: -Infinity, done: new Set(),
-				};
+				: {...phase.next, ...newTally(now), kind: 'preparing'};
 			this.#query(now);
 		}
 
@@ -269,16 +267,13 @@
 	}
 
 	#begin(phase: TallyPhase, now: number): void {
-		this.#phase = {
-			...phase, since: now, sentAt: -Infinity, done: new Set(),
-		};
+		this.#phase = {...phase, ...newTally(now)};
 		this.#advance(now);
 	}
 
-	#cancel(round: Round, now: number): void {
-		const {plan, epoch, members} = round;
+	#cancel({plan, epoch, members}: Round, now: number): void {
 		this.#begin({
-			kind: 'cancelling', plan, epoch, members, since: now, sentAt: now, done: new Set(),
+			...newTally(now), kind: 'cancelling', plan, epoch, members,
 		}, now);
 	}
 
@@ -321,7 +316,7 @@
 		if (message.state.epoch === epoch) {
 			const step = message.state.step + (this.#options.marginSteps ?? 10);
 			this.#begin({
-				kind: 'gating', plan, epoch, members, step, since: now, sentAt: now, done: new Set(),
+				...newTally(now), kind: 'gating', plan, epoch, members, step,
 			}, now);
 		} else {
 			this.#cancel(phase, now);
@@ -368,8 +363,9 @@
 		}
 
 		const epoch = nextEpoch([...states.values()].map(state => state.epoch), this.#options.random);
+		const {joiners: members, invitation} = join;
 		this.#begin({
-			kind: 'joining', plan: this.#record.installed, epoch, members: join.joiners, invitation: join.invitation, since: now, sentAt: now, done: new Set(),
+			...newTally(now), kind: 'joining', plan: this.#record.installed, epoch, members, invitation,
 		}, now);
 	}
 
--- /dev/null
+++ b/packages/expertmap/src/placement.ts
@@ -0,0 +1,96 @@
+/** Placement of experts on ranks: loads, skew, moves and the lower bound. */
+import type {ExpertMap} from './engine-order.js';
+import {InputError} from '#core';
+
+/** Experts of one layer by rank: `slots[rank]` has one expert number per slot. */
+export type LayerSlots = ReadonlyArray<readonly number[]>;
+
+/** Tokens per expert of one layer, in any common unit. */
+export type LayerLoad = readonly number[];
+
+/** Number of copies of each expert. */
+export function countCopies(slots: LayerSlots, experts: number): readonly number[] {
+	const copies = Array.from({length: experts}, () => 0);
+	for (const expert of slots.flat()) {
+		copies[expert] = (copies[expert] ?? 0) + 1;
+	}
+
+	return copies;
+}
+
+/** Load of each rank: an expert's load splits evenly over its copies. */
+export function rankLoads(slots: LayerSlots, load: LayerLoad): readonly number[] {
+	const copies = countCopies(slots, load.length);
+	return slots.map(experts => {
+		let sum = 0;
+		for (const expert of experts) {
+			sum += (load[expert] ?? 0) / (copies[expert] ?? 1);
+		}
+
+		return sum;
+	});
+}
+
+/** Skew of a layer: slowest rank over mean; 1 for a layer without load. */
+export function skewOf(loads: readonly number[]): number {
+	let sum = 0;
+	let max = 0;
+	for (const load of loads) {
+		sum += load;
+		max = Math.max(max, load);
+	}
+
+	return sum === 0 ? 1 : max * loads.length / sum;
+}
+
+/**
+ * Lower bound on the skew of a layer for any placement: a perfect split gives 1, and an
+ * expert with `slots` copies at most leaves its largest share on some rank.
+ */
+export function skewLowerBound(load: LayerLoad, ranks: number, slotsPerRank: number): number {
+	const total = load.reduce((sum, value) => sum + value, 0);
+	const spare = (ranks * slotsPerRank) - load.length + 1;
+	return total === 0 ? 1 : Math.max(1, Math.max(...load) * ranks / (spare * total));
+}
+
+/** Experts that a rank has to load to get from one placement to the other, summed over ranks. */
+export function countMoves(from: LayerSlots, to: LayerSlots): number {
+	let moves = 0;
+	for (const [rank, experts] of to.entries()) {
+		const held = [...from[rank] ?? []];
+		for (const expert of experts) {
+			const index = held.indexOf(expert);
+			if (index === -1) {
+				moves += 1;
+			} else {
+				held.splice(index, 1);
+			}
+		}
+	}
+
+	return moves;
+}
+
+/**
+ * Checks a map and an observed load against each other.
+ *
+ * @throws InputError if sizes differ, a load is not a finite number of at least 0, or an expert has no slot.
+ */
+export function checkInput(map: ExpertMap, load: readonly LayerLoad[]): void {
+	if (map.slots.length !== load.length) {
+		throw new InputError(`expert load has ${load.length} layers, the map has ${map.slots.length}`);
+	}
+
+	for (const [layer, slots] of map.slots.entries()) {
+		const loads = load[layer] ?? [];
+		if (loads.some(value => !Number.isFinite(value) || value < 0)) {
+			throw new InputError(`expert load of layer ${layer} has a value that is not a finite number of at least 0`);
+		}
+
+		const copies = countCopies(slots, loads.length);
+		const missing = copies.indexOf(0);
+		if (missing !== -1 || copies.length !== loads.length) {
+			throw new InputError(`map of layer ${layer}: expected experts 0 to ${loads.length - 1} with a slot each, ${missing === -1 ? 'found a higher number' : `expert ${missing} has none`}`);
+		}
+	}
+}
--- /dev/null
+++ b/packages/expertmap/src/planner.ts
@@ -0,0 +1,200 @@
+/**
+ * Rebalancing planner: decides from observed loads which experts to copy and where,
+ * weighing skew against moves. It keeps smoothed loads; the map in force is an input.
+ */
+import type {ExpertMap} from './engine-order.js';
+import {searchLayer, type SearchPoint} from './layer-search.js';
+import {checkInput, countMoves, type LayerLoad} from './placement.js';
+import {InputError} from '#core';
+
+/** Hours of the day in which nothing moves. */
+export type FixedHours = {
+	/** Minute of the day, 0 to 1439, at which they begin. */
+	readonly fromMinute: number;
+	/** Minute of the day at which they end; before `fromMinute` if they span midnight. */
+	readonly toMinute: number;
+};
+
+/** Settings of a planner. */
+export type PlannerOptions = {
+	/** Value of one unit of skew (slowest over mean) in one layer. */
+	readonly skewWeight: number;
+	/** Cost of loading one expert, in the same unit. */
+	readonly moveWeight: number;
+	/** Experts that may be loaded in one interval; default 64. */
+	readonly moveBudget?: number;
+	/** Intervals in a row in which a change must pay off before it is made; default 3. */
+	readonly patience?: number;
+	/** Times of day without moves; default none. */
+	readonly fixedHours?: readonly FixedHours[];
+	/** Offset of the local time of `fixedHours` from `now`, minutes; default 0. */
+	readonly utcOffsetMinutes?: number;
+};
+
+/** Decision of one interval. */
+export type PlanDecision
+	= | {
+		readonly kind: 'keep';
+		readonly reason: 'no-gain' | 'waiting' | 'fixed-hours';
+	}
+	| {
+		readonly kind: 'move';
+		readonly map: ExpertMap;
+		/** Experts to load. */
+		readonly moves: number;
+		/** Predicted decrease of the skew, summed over layers. */
+		readonly gain: number;
+	};
+
+/** Weight of the newest observation in the slow and in the fast average. */
+const SLOW_WEIGHT = 0.2;
+const FAST_WEIGHT = 0.6;
+
+/**
+ * Share of a layer's load by which the two averages must differ before the fast one is
+ * used. Noise of 10 % per expert moves them apart by about 0.02, a jump by 0.2 or more.
+ */
+const JUMP_SHARE = 0.08;
+
+const DAY_MS = 86_400_000;
+const MINUTE_MS = 60_000;
+
+type LayerAverage = {readonly slow: LayerLoad; readonly fast: LayerLoad};
+
+/** The planner of one group. */
+export class RebalancePlanner {
+	/**
+	 * @throws InputError for a weight, budget, patience or hour out of range.
+	 */
+	static create(options: PlannerOptions): RebalancePlanner {
+		const {skewWeight, moveWeight, moveBudget = 64, patience = 3, fixedHours = [], utcOffsetMinutes = 0} = options;
+		const isBad = [skewWeight, moveWeight, moveBudget].some(value => !Number.isFinite(value) || value < 0);
+		if (isBad || !Number.isInteger(patience) || patience < 1) {
+			throw new InputError('planner: weights and budget must be finite numbers of at least 0, patience a whole number of at least 1');
+		}
+
+		const minutes = fixedHours.flatMap(({fromMinute, toMinute}) => [fromMinute, toMinute]);
+		const isBadMinute = minutes.some(minute => !Number.isInteger(minute) || minute < 0 || minute > 1440);
+		if (isBadMinute) {
+			throw new InputError('planner: fixed hours must be whole minutes from 0 to 1440');
+		}
+
+		return new RebalancePlanner({
+			skewWeight, moveWeight, moveBudget, patience, fixedHours, utcOffsetMinutes,
+		});
+	}
+
+	readonly #options: Required<PlannerOptions>;
+	#averages: readonly LayerAverage[] = [];
+	/** Intervals in a row in which a change of each layer would have paid off. */
+	#streaks: number[] = [];
+
+	private constructor(options: Required<PlannerOptions>) {
+		this.#options = options;
+	}
+
+	/**
+	 * Decides about one interval.
+	 *
+	 * @param map - Map in force; if a change failed, the one before it.
+	 * @param load - Observed tokens per layer and expert since the last call.
+	 * @param now - Wall-clock time, ms since the epoch, for the fixed hours.
+	 * @throws InputError for a load that does not fit the map; the planner's state is unchanged.
+	 */
+	plan(map: ExpertMap, load: readonly LayerLoad[], now: number): PlanDecision {
+		checkInput(map, load);
+		this.#observe(load);
+		const best = map.slots.map((slots, layer) => this.#bestOf(searchLayer(slots, this.#estimate(layer), this.#options.moveBudget)));
+		this.#streaks = best.map((point, layer) => point.moves > 0 ? (this.#streaks[layer] ?? 0) + 1 : 0);
+		if (best.every(point => point.moves === 0)) {
+			return {kind: 'keep', reason: 'no-gain'};
+		}
+
+		if (this.#isFixed(now)) {
+			return {kind: 'keep', reason: 'fixed-hours'};
+		}
+
+		return this.#choose(map);
+	}
+
+	#observe(load: readonly LayerLoad[]): void {
+		this.#averages = load.map((values, layer) => {
+			const former = this.#averages[layer];
+			const total = values.reduce((sum, value) => sum + value, 0);
+			const shares = values.map(value => total === 0 ? 1 / values.length : value / total);
+			if (former?.slow.length !== shares.length) {
+				return {slow: shares, fast: shares};
+			}
+
+			const fast = blend(former.fast, shares, FAST_WEIGHT);
+			const slow = blend(former.slow, shares, SLOW_WEIGHT);
+			return distance(fast, slow) > JUMP_SHARE ? {slow: fast, fast} : {slow, fast};
+		});
+	}
+
+	#estimate(layer: number): LayerLoad {
+		return this.#averages[layer]?.slow ?? [];
+	}
+
+	#net(points: readonly SearchPoint[], point: SearchPoint): number {
+		const gain = (points[0]?.skew ?? 1) - point.skew;
+		return (this.#options.skewWeight * gain) - (this.#options.moveWeight * point.moves);
+	}
+
+	/** The point with the largest gain after cost; the first one if no change pays off. */
+	#bestOf(points: readonly SearchPoint[]): SearchPoint & {readonly net: number; readonly gain: number} {
+		let best = points[0] ?? {slots: [], moves: 0, skew: 1};
+		for (const point of points) {
+			best = this.#net(points, point) > this.#net(points, best) ? point : best;
+		}
+
+		return {...best, net: this.#net(points, best), gain: (points[0]?.skew ?? 1) - best.skew};
+	}
+
+	/** Changes the layers that have waited long enough, the most profitable first, within the budget. */
+	#choose(map: ExpertMap): PlanDecision {
+		const slots = [...map.slots];
+		let budget = this.#options.moveBudget;
+		let gain = 0;
+		let moves = 0;
+		const ready = map.slots.map((_, layer) => layer).filter(layer => (this.#streaks[layer] ?? 0) >= this.#options.patience);
+		const ranked = ready
+			.map(layer => ({layer, point: this.#bestOf(searchLayer(map.slots[layer] ?? [], this.#estimate(layer), this.#options.moveBudget))}))
+			.toSorted((a, b) => b.point.net - a.point.net);
+		for (const {layer} of ranked) {
+			const former = map.slots[layer] ?? [];
+			const point = this.#bestOf(searchLayer(former, this.#estimate(layer), budget));
+			if (point.moves > 0) {
+				slots[layer] = point.slots;
+				const moved = countMoves(former, point.slots);
+				budget -= moved;
+				moves += moved;
+				gain += point.gain;
+				this.#streaks[layer] = 0;
+			}
+		}
+
+		return moves === 0
+			? {kind: 'keep', reason: 'waiting'}
+			: {
+				kind: 'move', map: {slots}, moves, gain,
+			};
+	}
+
+	#isFixed(now: number): boolean {
+		const local = now + (this.#options.utcOffsetMinutes * MINUTE_MS);
+		const minute = Math.floor((((local % DAY_MS) + DAY_MS) % DAY_MS) / MINUTE_MS);
+		return this.#options.fixedHours.some(({fromMinute, toMinute}) => fromMinute <= toMinute
+			? minute >= fromMinute && minute < toMinute
+			: minute >= fromMinute || minute < toMinute);
+	}
+}
+
+function blend(former: LayerLoad, next: LayerLoad, weight: number): LayerLoad {
+	return former.map((value, index) => (value * (1 - weight)) + ((next[index] ?? 0) * weight));
+}
+
+/** Half the sum of the differences: the share of load that has moved to other experts. */
+function distance(a: LayerLoad, b: LayerLoad): number {
+	return a.reduce((sum, value, index) => sum + Math.abs(value - (b[index] ?? 0)), 0) / 2;
+}
