Make the planner's search stop early and weigh steps without allocations

Change: a layer's search ends after 8 moves without a better net gain; load changes are kept in one typed array; the budgeted choice reuses the search. Ruled out: stopping at the first move without gain, since ties of slow ranks take several moves to resolve.

--- a/packages/expertmap/src/layer-search.ts
+++ b/packages/expertmap/src/layer-search.ts
@@ -25,6 +25,9 @@
 	readonly loads: number[];
 	readonly #load: LayerLoad;
 	readonly #mean: number;
+	/** Load change by rank while a step is weighed, and the ranks where it is set; kept to spare allocations. */
+	readonly #deltas: Float64Array;
+	readonly #touched: number[] = [];
 	/** Ranks that hold each expert, one entry per copy. */
 	readonly #holders: number[][];
 
@@ -33,6 +36,7 @@
 		this.#load = load;
 		this.loads = [...rankLoads(slots, load)];
 		this.#mean = this.loads.reduce((sum, value) => sum + value, 0) / this.loads.length;
+		this.#deltas = new Float64Array(slots.length);
 		this.#holders = load.map(() => []);
 		for (const [rank, experts] of this.slots.entries()) {
 			for (const expert of experts) {
@@ -47,24 +51,24 @@
 
 	/** Change of the cost if the parts were applied. */
 	costOf(parts: readonly Part[]): number {
-		const changed = new Map<number, number>();
-		this.#addChanges(parts, changed);
+		this.#addChanges(parts);
 		let cost = 0;
-		for (const [rank, delta] of changed) {
+		for (const rank of this.#touched) {
 			const before = this.loads[rank] ?? 0;
-			cost += this.#penalty(before + delta) - this.#penalty(before);
+			cost += this.#penalty(before + (this.#deltas[rank] ?? 0)) - this.#penalty(before);
 		}
 
+		this.#clearChanges();
 		return cost;
 	}
 
 	apply(parts: readonly Part[]): void {
-		const changed = new Map<number, number>();
-		this.#addChanges(parts, changed);
-		for (const [rank, delta] of changed) {
-			this.loads[rank] = (this.loads[rank] ?? 0) + delta;
+		this.#addChanges(parts);
+		for (const rank of this.#touched) {
+			this.loads[rank] = (this.loads[rank] ?? 0) + (this.#deltas[rank] ?? 0);
 		}
 
+		this.#clearChanges();
 		for (const {rank, slot, expert} of parts) {
 			const experts = this.slots[rank] ?? [];
 			const former = this.#holders[experts[slot] ?? -1];
@@ -80,36 +84,51 @@
 		return (square * square) ** 2;
 	}
 
-	#addChanges(parts: readonly Part[], changed: Map<number, number>): void {
-		const change = (rank: number, delta: number): void => {
-			changed.set(rank, (changed.get(rank) ?? 0) + delta);
-		};
+	#change(rank: number, delta: number): void {
+		if (this.#deltas[rank] === 0) {
+			this.#touched.push(rank);
+		}
+
+		this.#deltas[rank] = (this.#deltas[rank] ?? 0) + delta;
+	}
+
+	#clearChanges(): void {
+		for (const rank of this.#touched) {
+			this.#deltas[rank] = 0;
+		}
 
+		this.#touched.length = 0;
+	}
+
+	#share(expert: number, copies: number): number {
+		return (this.#load[expert] ?? 0) / copies;
+	}
+
+	#addChanges(parts: readonly Part[]): void {
 		const [first, second] = parts;
 		if (first === undefined) {
 			return;
 		}
 
 		const former = this.slots[first.rank]?.[first.slot] ?? 0;
-		const share = (expert: number, copies: number): number => (this.#load[expert] ?? 0) / copies;
 		if (second !== undefined) {
-			const delta = share(first.expert, this.copies(first.expert)) - share(former, this.copies(former));
-			change(first.rank, delta);
-			change(second.rank, -delta);
+			const delta = this.#share(first.expert, this.copies(first.expert)) - this.#share(former, this.copies(former));
+			this.#change(first.rank, delta);
+			this.#change(second.rank, -delta);
 			return;
 		}
 
 		const gained = this.copies(first.expert);
 		const lost = this.copies(former);
 		for (const rank of this.#holders[first.expert] ?? []) {
-			change(rank, share(first.expert, gained + 1) - share(first.expert, gained));
+			this.#change(rank, this.#share(first.expert, gained + 1) - this.#share(first.expert, gained));
 		}
 
 		for (const rank of this.#holders[former] ?? []) {
-			change(rank, share(former, lost - 1) - share(former, lost));
+			this.#change(rank, this.#share(former, lost - 1) - this.#share(former, lost));
 		}
 
-		change(first.rank, share(first.expert, gained + 1) - share(former, lost - 1));
+		this.#change(first.rank, this.#share(first.expert, gained + 1) - this.#share(former, lost - 1));
 	}
 }
 
@@ -141,16 +160,21 @@
 	}
 }
 
+/** Moves without a better net gain after which a search ends; a tie of slow ranks takes a few moves to resolve. */
+const FRUITLESS_MOVES = 8;
+
 /**
  * Improves a layer step by step; each step has the largest gain for each move.
  *
  * @param maxMoves - Experts that may be loaded at most.
+ * @param costOf - Weighted skew plus weighted moves of a point; the search ends when it stops to fall.
  * @returns The starting point and the point after each step.
  */
-export function searchLayer(slots: LayerSlots, load: LayerLoad, maxMoves: number): readonly SearchPoint[] {
+export function searchLayer(slots: LayerSlots, load: LayerLoad, maxMoves: number, costOf: (point: SearchPoint) => number): readonly SearchPoint[] {
 	const state = new LayerState(slots, load);
 	const points: SearchPoint[] = [{slots, moves: 0, skew: skewOf(state.loads)}];
-	for (let moves = 0; skewOf(state.loads) > 1;) {
+	let lowest = points[0];
+	for (let moves = 0; lowest !== undefined && moves - lowest.moves <= FRUITLESS_MOVES;) {
 		let best: readonly Part[] | undefined;
 		let bestGain = 1e-9;
 		for (const parts of candidates(state)) {
@@ -167,7 +191,9 @@
 
 		state.apply(best);
 		moves += best.length;
-		points.push({slots: state.slots.map(experts => [...experts]), moves, skew: skewOf(state.loads)});
+		const point = {slots: state.slots.map(experts => [...experts]), moves, skew: skewOf(state.loads)};
+		points.push(point);
+		lowest = costOf(point) < costOf(lowest) ? point : lowest;
 	}
 
 	return points;
--- a/packages/expertmap/src/planner.ts
+++ b/packages/expertmap/src/planner.ts
@@ -4,7 +4,9 @@
  */
 import type {ExpertMap} from './engine-order.js';
 import {searchLayer, type SearchPoint} from './layer-search.js';
-import {checkInput, countMoves, type LayerLoad} from './placement.js';
+import {
+	checkInput, countMoves, type LayerLoad, type LayerSlots,
+} from './placement.js';
 import {InputError} from '#core';
 
 /** Hours of the day in which nothing moves. */
@@ -61,6 +63,9 @@
 
 type LayerAverage = {readonly slow: LayerLoad; readonly fast: LayerLoad};
 
+/** A change of one layer: `net` is the weighted gain less the weighted moves, `gain` the decrease of the skew. */
+type Candidate = SearchPoint & {readonly net: number; readonly gain: number};
+
 /** The planner of one group. */
 export class RebalancePlanner {
 	/**
@@ -104,7 +109,7 @@
 	plan(map: ExpertMap, load: readonly LayerLoad[], now: number): PlanDecision {
 		checkInput(map, load);
 		this.#observe(load);
-		const best = map.slots.map((slots, layer) => this.#bestOf(searchLayer(slots, this.#estimate(layer), this.#options.moveBudget)));
+		const best = map.slots.map((slots, layer) => this.#bestOf(slots, layer, this.#options.moveBudget));
 		this.#streaks = best.map((point, layer) => point.moves > 0 ? (this.#streaks[layer] ?? 0) + 1 : 0);
 		if (best.every(point => point.moves === 0)) {
 			return {kind: 'keep', reason: 'no-gain'};
@@ -114,7 +119,7 @@
 			return {kind: 'keep', reason: 'fixed-hours'};
 		}
 
-		return this.#choose(map);
+		return this.#choose(map, best);
 	}
 
 	#observe(load: readonly LayerLoad[]): void {
@@ -132,40 +137,33 @@
 		});
 	}
 
-	#estimate(layer: number): LayerLoad {
-		return this.#averages[layer]?.slow ?? [];
-	}
-
-	#net(points: readonly SearchPoint[], point: SearchPoint): number {
-		const gain = (points[0]?.skew ?? 1) - point.skew;
-		return (this.#options.skewWeight * gain) - (this.#options.moveWeight * point.moves);
-	}
-
-	/** The point with the largest gain after cost; the first one if no change pays off. */
-	#bestOf(points: readonly SearchPoint[]): SearchPoint & {readonly net: number; readonly gain: number} {
-		let best = points[0] ?? {slots: [], moves: 0, skew: 1};
+	/** The point with the largest gain after cost within a budget; the present one if no change pays off. */
+	#bestOf(slots: LayerSlots, layer: number, budget: number): Candidate {
+		const {skewWeight, moveWeight} = this.#options;
+		const costOf = (point: SearchPoint): number => (skewWeight * point.skew) + (moveWeight * point.moves);
+		const points = searchLayer(slots, this.#averages[layer]?.slow ?? [], budget, costOf);
+		const start = points[0] ?? {slots, moves: 0, skew: 1};
+		let best = start;
 		for (const point of points) {
-			best = this.#net(points, point) > this.#net(points, best) ? point : best;
+			best = costOf(point) < costOf(best) ? point : best;
 		}
 
-		return {...best, net: this.#net(points, best), gain: (points[0]?.skew ?? 1) - best.skew};
+		return {...best, net: costOf(start) - costOf(best), gain: start.skew - best.skew};
 	}
 
 	/** Changes the layers that have waited long enough, the most profitable first, within the budget. */
-	#choose(map: ExpertMap): PlanDecision {
+	#choose(map: ExpertMap, candidates: readonly Candidate[]): PlanDecision {
 		const slots = [...map.slots];
 		let budget = this.#options.moveBudget;
 		let gain = 0;
 		let moves = 0;
-		const ready = map.slots.map((_, layer) => layer).filter(layer => (this.#streaks[layer] ?? 0) >= this.#options.patience);
-		const ranked = ready
-			.map(layer => ({layer, point: this.#bestOf(searchLayer(map.slots[layer] ?? [], this.#estimate(layer), this.#options.moveBudget))}))
-			.toSorted((a, b) => b.point.net - a.point.net);
-		for (const {layer} of ranked) {
+		const ready = candidates.map((candidate, layer) => ({candidate, layer})).filter(({layer}) => (this.#streaks[layer] ?? 0) >= this.#options.patience);
+		for (const {candidate, layer} of ready.toSorted((a, b) => b.candidate.net - a.candidate.net)) {
 			const former = map.slots[layer] ?? [];
-			const point = this.#bestOf(searchLayer(former, this.#estimate(layer), budget));
+			const point = candidate.moves <= budget ? candidate : this.#bestOf(former, layer, budget);
 			if (point.moves > 0) {
 				slots[layer] = point.slots;
+				// A sequence of steps may load an expert and replace it again.
 				const moved = countMoves(former, point.slots);
 				budget -= moved;
 				moves += moved;
