Start the planner's averages anew as soon as the load has jumped

Cause: after a storm's jump the fast average still held two fifths of the old load, so the plan made three intervals later fitted neither. Change: one average; when 8 % of a layer's load has moved to other experts, it starts anew from the newest observation.

--- a/packages/expertmap/src/planner.ts
+++ b/packages/expertmap/src/planner.ts
@@ -48,21 +48,18 @@
 		readonly gain: number;
 	};
 
-/** Weight of the newest observation in the slow and in the fast average. */
-const SLOW_WEIGHT = 0.2;
-const FAST_WEIGHT = 0.6;
+/** Weight of the newest observation in the average. */
+const NEWEST_WEIGHT = 0.2;
 
 /**
- * Share of a layer's load by which the two averages must differ before the fast one is
- * used. Noise of 10 % per expert moves them apart by about 0.02, a jump by 0.2 or more.
+ * Share of a layer's load that must have moved to other experts for the average to start
+ * anew. Noise of 10 % for each expert accounts for about 0.04, a jump for 0.1 or more.
  */
 const JUMP_SHARE = 0.08;
 
 const DAY_MS = 86_400_000;
 const MINUTE_MS = 60_000;
 
-type LayerAverage = {readonly slow: LayerLoad; readonly fast: LayerLoad};
-
 /** A change of one layer: `net` is the weighted gain less the weighted moves, `gain` the decrease of the skew. */
 type Candidate = SearchPoint & {readonly net: number; readonly gain: number};
 
@@ -90,7 +87,8 @@
 	}
 
 	readonly #options: Required<PlannerOptions>;
-	#averages: readonly LayerAverage[] = [];
+	/** Smoothed share of each expert by layer. */
+	#averages: readonly LayerLoad[] = [];
 	/** Intervals in a row in which a change of each layer would have paid off. */
 	#streaks: number[] = [];
 
@@ -127,13 +125,8 @@
 			const former = this.#averages[layer];
 			const total = values.reduce((sum, value) => sum + value, 0);
 			const shares = values.map(value => total === 0 ? 1 / values.length : value / total);
-			if (former?.slow.length !== shares.length) {
-				return {slow: shares, fast: shares};
-			}
-
-			const fast = blend(former.fast, shares, FAST_WEIGHT);
-			const slow = blend(former.slow, shares, SLOW_WEIGHT);
-			return distance(fast, slow) > JUMP_SHARE ? {slow: fast, fast} : {slow, fast};
+			const isNew = former?.length !== shares.length || distance(former, shares) > JUMP_SHARE;
+			return isNew ? shares : blend(former, shares, NEWEST_WEIGHT);
 		});
 	}
 
@@ -141,7 +134,7 @@
 	#bestOf(slots: LayerSlots, layer: number, budget: number): Candidate {
 		const {skewWeight, moveWeight} = this.#options;
 		const costOf = (point: SearchPoint): number => (skewWeight * point.skew) + (moveWeight * point.moves);
-		const points = searchLayer(slots, this.#averages[layer]?.slow ?? [], budget, costOf);
+		const points = searchLayer(slots, this.#averages[layer] ?? [], budget, costOf);
 		const start = points[0] ?? {slots, moves: 0, skew: 1};
 		let best = start;
 		for (const point of points) {
