--- a/packages/quarantine/src/suspect-record.ts
+++ b/packages/quarantine/src/suspect-record.ts
@@ -69,12 +69,12 @@
 	const known = new Set(a.crashes.map(({crashId}) => crashId));
 	const crashes = keptCrashes([...a.crashes, ...b.crashes.filter(({crashId}) => !known.has(crashId))]);
 	const ended = [...new Set([...a.ended, ...b.ended])].slice(-MAX_KEPT_ENDED);
-	const permit_ = [a.permit, b.permit].find(permit => permit !== undefined && !ended.includes(permit.permitId));
+	const held = [a.permit, b.permit].find(permit => permit !== undefined && !ended.includes(permit.permitId));
 	return {
 		fingerprint: a.fingerprint,
 		crashes,
 		cleared: a.crashes.length === b.crashes.length ? a.cleared || b.cleared : (a.crashes.length > b.crashes.length ? a : b).cleared,
-		permit: permit_,
+		permit: held,
 		ended,
 		crashedAt: Math.max(a.crashedAt, b.crashedAt),
 	};
--- a/packages/routing/src/choose.ts
+++ b/packages/routing/src/choose.ts
@@ -13,10 +13,15 @@
 const MAX_DRAWS = 8;
 /** How far down the order of homes a request may move when homes are overloaded. */
 const MAX_HOMES = 3;
-/** A home takes affine work until its load is this multiple of the mean. */
-const HOME_BOUND = 1.25;
-/** Below this wait a home is never overloaded; a bound on tiny queues would only scatter prefixes. */
-const HOME_FREE_WAIT_MS = 100;
+/**
+ * A home takes affine work until it runs this multiple of the mean. A bound near 1 moves conversations
+ * to and fro between homes, and the prompts computed again load the fleet more than the skew does.
+ */
+const HOME_BOUND = 2;
+/** A home is overloaded when its queue exceeds this multiple of the mean queue and also the wait below. */
+const HOME_QUEUE_BOUND = 3;
+/** A queue shorter than about the 1.2 s target plus the time saved by the cache is no reason to leave a home. */
+const HOME_FREE_WAIT_MS = 1500;
 /** Hints considered for one request. */
 const MAX_HINTS = 3;
 /** Replicas of other regions are considered once the best wait in the own region exceeds this. */
@@ -107,14 +112,23 @@
 	const cost = price({replica, source: 'prefix-home'}, context);
 	const running = (replica.report?.running ?? stats.meanRunning) + replica.unreported.length;
 	const meanQueueMs = stats.meanQueuedTokens * 1000 / Math.max(1, stats.meanPeakTokensPerSecond);
-	return cost.queueMs + cost.ownMs > Math.max(HOME_FREE_WAIT_MS, meanQueueMs * HOME_BOUND)
+	return cost.queueMs + cost.ownMs > Math.max(HOME_FREE_WAIT_MS, meanQueueMs * HOME_QUEUE_BOUND)
 		|| running > (stats.meanRunning * HOME_BOUND) + 1;
 }
 
+/**
+ * The prefix that places a request: the one after the shortest. The shortest is often a system prompt
+ * shared by many callers, which would put them all on one replica; the next one is the first message of
+ * a conversation, which later messages share whichever entry they come through.
+ */
+function homeKey({prefixes}: RouteRequest): string | undefined {
+	return (prefixes[1] ?? prefixes[0])?.hash;
+}
+
 /** The prefix home: the first in rendezvous order over the region's replicas that is not overloaded. */
 function prefixHome(context: Context): Replica | undefined {
 	const {table, request} = context;
-	const key = request.prefixes[0]?.hash;
+	const key = homeKey(request);
 	if (key === undefined) {
 		return undefined;
 	}
@@ -141,7 +155,7 @@
 	});
 }
 
-/** Candidates in order of certainty; the same replica is kept under its first source. */
+/** Candidates; the same replica is kept under its first source. */
 function gather(context: Context): readonly Candidate[] {
 	const candidates: Candidate[] = [];
 	const add = (replica: Replica | undefined, source: CandidateSource) => {
@@ -150,11 +164,11 @@
 		}
 	};
 
+	add(prefixHome(context), 'prefix-home');
 	for (const replica of hinted(context)) {
 		add(replica, 'prefix-memory');
 	}
 
-	add(prefixHome(context), 'prefix-home');
 	for (const replica of randomCandidates(context)) {
 		add(replica, 'random');
 	}
@@ -185,7 +199,7 @@
 	const replica = best === undefined ? undefined : table.get(best.id);
 	if (best !== undefined && replica !== undefined) {
 		return {
-			kind: 'chosen', replica, expectedWaitMs: best.waitMs, cachedTokens: best.cachedTokens, why,
+			kind: 'chosen', replica, expectedWaitMs: best.waitMs, source: best.source, cachedTokens: best.cachedTokens, why,
 		};
 	}
 
--- a/packages/routing/src/cost.ts
+++ b/packages/routing/src/cost.ts
@@ -17,8 +17,14 @@
 const QUEUE_MEMORY_MS = 2000;
 /** The running batch turns over in about 25 s, so its size is believed for longer than the queue. */
 const RUNNING_MEMORY_MS = 20_000;
-/** Cost of running as many requests again as the mean of the fleet. */
-const BALANCE_MS = 400;
+/** Cost of running as many requests again as the mean of the fleet; a larger one moves conversations off their home and costs cache hits. */
+const BALANCE_MS = 2000;
+/**
+ * A prompt placed away from its home will be computed again when the conversation returns there, and
+ * each computed token delays every request queued behind it. Without this weight a busy fleet gives up
+ * affinity for shorter queues, which computes more tokens and makes it busier.
+ */
+const SCATTER_WEIGHT = 12;
 /** A peak below this share of the mean comes from an idle replica and not from a slow one. */
 const IDLE_PEAK_SHARE = 0.25;
 
@@ -51,15 +57,21 @@
 }
 
 function unreportedTokens(replica: Replica): number {
-	return replica.unreported.reduce((sum, {inputTokens}) => sum + inputTokens, 0);
+	return replica.unreported.reduce((sum, {prefillTokens}) => sum + prefillTokens, 0);
 }
 
-/** Prompt tokens of the request that the replica is expected to hold in its cache. */
-export function expectedCached(replica: Replica, request: RouteRequest, isHome: boolean): number {
-	const hint = request.known.hints.find(({replicaId}) => replicaId === replica.id);
-	const prefixTokens = request.prefixes.at(-1)?.tokens ?? 0;
-	const atHome = isHome ? request.known.homeHitRate * prefixTokens : 0;
-	return Math.min(request.inputTokens, Math.max(hint?.cachedTokens ?? 0, atHome));
+type Expected = {readonly cachedTokens: number; readonly source: CandidateSource};
+
+/** Prompt tokens expected in the cache, from the note of an earlier dispatch or from what homes usually hold. */
+function expectedCached(replica: Replica, request: RouteRequest, source: CandidateSource): Expected {
+	const noted = request.known.hints.find(({replicaId}) => replicaId === replica.id)?.cachedTokens ?? 0;
+	// The longest prefix is the prompt itself, which no earlier request has filled in.
+	const earlierTokens = request.prefixes.at(-2)?.tokens ?? 0;
+	const atHome = source === 'prefix-home' ? request.known.homeHitRate * earlierTokens : 0;
+	return {
+		cachedTokens: Math.min(request.inputTokens, Math.max(noted, atHome)),
+		source: noted > atHome ? 'prefix-memory' : source,
+	};
 }
 
 /** What the cost of a candidate is computed from. */
@@ -77,7 +89,7 @@
 	const {report} = replica;
 	const ageMs = now - replica.reportedAt;
 	const msPerToken = 1000 / rateOf(replica, stats, options);
-	const cachedTokens = expectedCached(replica, request, source === 'prefix-home');
+	const {cachedTokens, source: basis} = expectedCached(replica, request, source);
 	const queueMs = msPerToken * aged(report?.queuedTokens, stats.meanQueuedTokens, ageMs, QUEUE_MEMORY_MS);
 	const ownMs = msPerToken * unreportedTokens(replica);
 	const prefillMs = msPerToken * (request.inputTokens - cachedTokens);
@@ -85,18 +97,21 @@
 	const straggler = stragglerOf(replica, stats);
 	const waitMs = (queueMs + ownMs + prefillMs + zoneMs) * straggler;
 	const running = aged(report?.running, stats.meanRunning, ageMs, RUNNING_MEMORY_MS) + replica.unreported.length;
+	const isScattered = request.prefixes.length > 0 && basis !== 'prefix-home' && basis !== 'prefix-memory';
+	const scatterMs = isScattered ? SCATTER_WEIGHT * msPerToken * request.inputTokens : 0;
 	const balanceMs = stats.meanRunning > 0 ? BALANCE_MS * ((running / stats.meanRunning) - 1) : 0;
 	return {
 		id: replica.id,
-		source,
+		source: basis,
 		queueMs,
 		ownMs,
 		prefillMs,
 		zoneMs,
 		straggler,
 		waitMs,
+		scatterMs,
 		balanceMs,
-		costMs: waitMs + balanceMs,
+		costMs: waitMs + scatterMs + balanceMs,
 		cachedTokens,
 		reportAgeMs: report === undefined ? undefined : ageMs,
 	};
--- a/packages/routing/src/prefix-memory.ts
+++ b/packages/routing/src/prefix-memory.ts
@@ -1,5 +1,7 @@
 /** Remembers which replicas hold which prompt prefixes, from this entry's own dispatches and their answers. */
-import {type CacheHint, type PrefixKnowledge, type PromptPrefix} from './types.js';
+import {
+	type CacheHint, type CandidateSource, type PrefixKnowledge, type PromptPrefix,
+} from './types.js';
 
 type Holder = {readonly replicaId: string; readonly at: number};
 
@@ -10,6 +12,8 @@
 const NOTE_TTL_MS = 180_000;
 /** Weight of one answer in the learnt rates: about the last 50 answers count. */
 const LEARNING_WEIGHT = 0.02;
+/** Notes keep some trust, or none would be followed any more and the trust could not recover. */
+const MIN_HINT_TRUST = 0.2;
 /** Before any answer, half of the prefix is assumed at its home, so that homes come into use at all. */
 const INITIAL_HOME_HIT_RATE = 0.5;
 
@@ -47,22 +51,21 @@
 	}
 
 	/**
-	 * Learns from an `accepted` answer how far hints and homes can be trusted.
+	 * Learns from an `accepted` answer how far notes and homes can be trusted.
 	 *
-	 * @param known - The knowledge with which the replica was chosen.
+	 * @param expected - The choice that sent the request there: its source and the cached tokens it expected.
 	 * @param cachedTokens - Prompt tokens that the endpoint found in its cache.
 	 */
-	accepted(prefixes: readonly PromptPrefix[], known: PrefixKnowledge, replicaId: string, cachedTokens: number): void {
-		const longest = prefixes.at(-1)?.tokens ?? 0;
-		if (longest === 0) {
-			return;
+	accepted(prefixes: readonly PromptPrefix[], expected: {readonly source: CandidateSource; readonly cachedTokens: number}, cachedTokens: number): void {
+		const earlierTokens = prefixes.at(-2)?.tokens ?? 0;
+		if (expected.source === 'prefix-home' && earlierTokens > 0) {
+			this.#homeHitRate += LEARNING_WEIGHT * (Math.min(1, cachedTokens / earlierTokens) - this.#homeHitRate);
 		}
 
-		const hint = known.hints.find(other => other.replicaId === replicaId);
-		if (hint === undefined) {
-			this.#homeHitRate += LEARNING_WEIGHT * (Math.min(1, cachedTokens / longest) - this.#homeHitRate);
-		} else if (hint.cachedTokens > 0) {
-			this.#hintTrust += LEARNING_WEIGHT * (Math.min(1, cachedTokens / hint.cachedTokens) - this.#hintTrust);
+		if (expected.source === 'prefix-memory' && expected.cachedTokens > 0) {
+			const noted = expected.cachedTokens / this.#hintTrust;
+			this.#hintTrust += LEARNING_WEIGHT * (Math.min(1, cachedTokens / noted) - this.#hintTrust);
+			this.#hintTrust = Math.max(MIN_HINT_TRUST, this.#hintTrust);
 		}
 	}
 
@@ -78,10 +81,13 @@
 		}
 	}
 
-	/** Replicas that hold some of the prompt, the longest prefix first, one hint for each replica. */
+	/**
+	 * Replicas that hold some of the prompt, the longest prefix first, one hint for each replica.
+	 * Of several prefixes the shortest is left out: it is shared by many callers and most replicas hold it.
+	 */
 	lookup(prefixes: readonly PromptPrefix[], now: number): PrefixKnowledge {
 		const hints = new Map<string, CacheHint>();
-		for (const {hash, tokens} of prefixes.toReversed()) {
+		for (const {hash, tokens} of prefixes.slice(prefixes.length > 1 ? 1 : 0).toReversed()) {
 			for (const {replicaId, at} of this.#holders.get(hash) ?? []) {
 				if (now - at <= NOTE_TTL_MS && !hints.has(replicaId)) {
 					hints.set(replicaId, {replicaId, cachedTokens: tokens * this.#hintTrust});
--- a/packages/routing/src/table.ts
+++ b/packages/routing/src/table.ts
@@ -207,14 +207,14 @@
 		}));
 	}
 
-	/** Notes work that this entry sends. */
-	withDispatch(id: string, work: Work, now: number): RoutingTable {
+	/** Notes work that this entry sends; `cachedTokens` as the choice expects them. */
+	withDispatch(id: string, work: Work, cachedTokens: number, now: number): RoutingTable {
 		return this.#change(id, replica => ({
 			...replica,
 			awaitingSince: replica.awaitingSince ?? now,
 			ownTokens: replica.ownTokens + work.inputTokens + work.outputTokens,
 			ownRequests: replica.ownRequests + 1,
-			unreported: [...replica.unreported.slice(1 - MAX_UNREPORTED), {at: now, inputTokens: work.inputTokens}],
+			unreported: [...replica.unreported.slice(1 - MAX_UNREPORTED), {at: now, prefillTokens: Math.max(0, work.inputTokens - cachedTokens)}],
 		}));
 	}
 
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -37,7 +37,7 @@
 };
 
 /** Work dispatched by this entry that no report covers yet. */
-export type UnreportedWork = {readonly at: number; readonly inputTokens: number};
+export type UnreportedWork = {readonly at: number; /** Prompt tokens that are not expected in the cache. */ readonly prefillTokens: number};
 
 /** A replica as routing sees it. Times are milliseconds of the clock that the caller passes as `now`. */
 export type Replica = InstanceEntry & {
@@ -101,10 +101,10 @@
 };
 
 /** Why a replica was not considered. */
-export type LeftOutReason = 'wrong-model' | 'leaving' | 'closed' | 'excluded' | 'suspected' | 'full' | 'far' | 'not-sampled' | 'home-overloaded';
+export type LeftOutReason = 'wrong-model' | 'leaving' | 'closed' | 'excluded' | 'suspected' | 'full' | 'far' | 'not-sampled';
 
 /** Where a candidate came from. */
-export type CandidateSource = 'random' | 'least-own' | 'prefix-home' | 'prefix-memory' | 'far';
+export type CandidateSource = 'random' | 'prefix-home' | 'prefix-memory' | 'far';
 
 /** The cost of one candidate, term by term, in milliseconds unless named otherwise. */
 export type CandidateCost = {
@@ -121,9 +121,11 @@
 	readonly straggler: number;
 	/** The expected wait: the sum of the terms above times the factor. */
 	readonly waitMs: number;
+	/** Penalty for placing a prompt away from the replicas that hold or will hold it; it is no part of the wait. */
+	readonly scatterMs: number;
 	/** Penalty for running work above the mean of the fleet; it is no part of the wait. */
 	readonly balanceMs: number;
-	/** Wait plus penalty; the lowest wins. */
+	/** Wait plus penalties; the lowest wins. */
 	readonly costMs: number;
 	/** Tokens expected in the cache. */
 	readonly cachedTokens: number;
@@ -141,5 +143,14 @@
 
 /** Outcome of a choice. Nothing has been sent, so a failed choice is always `not-run`. */
 export type Choice
-	= | {readonly kind: 'chosen'; readonly replica: Replica; readonly expectedWaitMs: number; readonly cachedTokens: number; readonly why: Why}
-		| {readonly kind: 'none'; readonly reason: 'unknown-model' | 'unknown-service' | 'no-endpoint'; readonly outcome: 'not-run'; readonly why: Why};
+	= | {
+		readonly kind: 'chosen';
+		readonly replica: Replica;
+		readonly expectedWaitMs: number;
+		/** What the expected cached tokens rest on. */
+		readonly source: CandidateSource;
+		/** Prompt tokens expected in the replica's cache. */
+		readonly cachedTokens: number;
+		readonly why: Why;
+	}
+	| {readonly kind: 'none'; readonly reason: 'unknown-model' | 'unknown-service' | 'no-endpoint'; readonly outcome: 'not-run'; readonly why: Why};
