--- /dev/null
+++ b/packages/routing/__tests__/unit/routing.test.ts
@@ -0,0 +1,176 @@
+import t from 'tap';
+import {
+	chooseReplica, explainChoice, hashHex, initHashing, isSuspected, PrefixMemory, rendezvous, RoutingTable, servesModel, subsetOf,
+	type InstanceEntry, type LoadReport, type RouteRequest,
+} from '#routing';
+
+await initHashing();
+
+function entry(id: string, zone = 'a', region = 'r'): InstanceEntry {
+	return {
+		id, zone, region, group: 'g', models: ['m@1'], address: id, leaving: false,
+	};
+}
+
+const idle: LoadReport = {
+	queuedTokens: 0, running: 10, tokensPerSecond: 2000, stepMs: 40, cachedPrefixes: 0, leaving: false,
+};
+
+const request: RouteRequest = {
+	model: 'm', inputTokens: 400, outputTokens: 100, zone: 'a', region: 'r', prefixes: [], known: {hints: [], homeHitRate: 0.5}, excluded: new Set(),
+};
+
+function tableOf(entries: readonly InstanceEntry[], loads: Readonly<Record<string, Partial<LoadReport>>> = {}, now = 0): RoutingTable {
+	let table = RoutingTable.create().withInstances(entries, now).withSubset(new Set(entries.map(({id}) => id)), now);
+	for (const {id} of entries) {
+		table = table.withReport(id, {...idle, ...loads[id]}, now);
+	}
+
+	// A second round renews the statistics with all loads known.
+	for (const {id} of entries) {
+		table = table.withReport(id, {...idle, ...loads[id]}, now + 300);
+	}
+
+	return table;
+}
+
+function chosen(table: RoutingTable, wanted: RouteRequest = request, now = 400, random = () => 0): string {
+	const choice = chooseReplica(table, wanted, now, random);
+	return choice.kind === 'chosen' ? choice.replica.id : choice.reason;
+}
+
+const x = entry('x');
+const y = entry('y');
+const costCases = [
+	{name: 'a shorter queue', table: tableOf([x, y], {x: {queuedTokens: 4000}}), expected: 'y'},
+	{name: 'a faster step at equal queues', table: tableOf([x, y], {x: {stepMs: 400, queuedTokens: 500}, y: {queuedTokens: 500}}), expected: 'y'},
+	{name: 'the own zone at equal load', table: tableOf([entry('x', 'b'), y]), expected: 'y'},
+	{name: 'the replica without own unreported work', table: tableOf([x, y]).withDispatch('x', {inputTokens: 4000, outputTokens: 0}, 0, 350), expected: 'y'},
+	{name: 'one that has not just refused as full', table: tableOf([x, y], {y: {queuedTokens: 9000}}).withRefusal('x', 'endpoint-full', 350), expected: 'y'},
+	{name: 'the own region while it is not overloaded', table: tableOf([entry('x', 'a', 'far'), y], {y: {queuedTokens: 200}}), expected: 'y'},
+];
+await t.test('the choice follows each term of the cost', t => {
+	for (const {name, table, expected} of costCases) {
+		t.equal(chosen(table), expected, `prefers ${name}`);
+	}
+
+	t.end();
+});
+
+await t.test('silence of 3 s suspects a replica; it is used only when there is no other', t => {
+	const table = tableOf([x, y]).withAnswer('y', 3000);
+	const suspect = table.get('x');
+	t.equal(suspect !== undefined && isSuspected(suspect, 3400), true);
+	t.equal(chosen(table, request, 3400), 'y');
+	t.equal(chosen(table, {...request, excluded: new Set(['y'])}, 3400), 'x');
+	const silent = RoutingTable.create().withInstances([x], 0).withDispatch('x', request, 0, 10).get('x');
+	t.equal(silent !== undefined && isSuspected(silent, 3011), true, 'unanswered work suspects one without a subscription');
+	t.end();
+});
+
+await t.test('a report with a false flag withdraws a leaving message but not the instance list', t => {
+	const table = tableOf([x]).withLeaving('x', 400);
+	t.equal(chosen(table), 'no-endpoint');
+	t.equal(chosen(table.withReport('x', idle, 500), request, 500), 'x');
+	t.equal(chosen(table.withReport('x', idle, 500).withInstance({...x, leaving: true}, 600), request, 600), 'no-endpoint');
+	t.equal(chosen(table.withoutInstance('x', 600)), 'unknown-model');
+	t.equal(chosen(table, {...request, model: 'service:ledger'}), 'unknown-service');
+	t.end();
+});
+
+await t.test('many entries with the same old reports do not all choose the one idle replica', t => {
+	const entries = Array.from({length: 20}, (_, index) => entry(`e${index}`));
+	const loads = Object.fromEntries(entries.map(({id}) => [id, {queuedTokens: id === 'e7' ? 0 : 2000}]));
+	const table = tableOf(entries, loads);
+	let seed = 1;
+	const random = () => {
+		seed = (seed * 16_807) % 2_147_483_647;
+		return seed / 2_147_483_647;
+	};
+
+	const hits = Array.from({length: 1000}, () => chosen(table, request, 400, random)).filter(id => id === 'e7').length;
+	t.ok(hits > 50 && hits < 200, `two draws of twenty include it in one choice of ten, was ${hits} of 1000`);
+	t.end();
+});
+
+await t.test('entries agree on the prefix home, and an overloaded home hands over to the next in order', t => {
+	const entries = Array.from({length: 10}, (_, index) => entry(`e${index}`));
+	const prefixes = [{hash: hashHex('system'), tokens: 200}, {hash: hashHex('first'), tokens: 300}, {hash: hashHex('second'), tokens: 400}];
+	const [home = '', next] = rendezvous(hashHex('first'), entries.map(({id}) => id), 2);
+	const affine = {...request, prefixes};
+	t.equal(chosen(tableOf(entries), affine, 400, () => 0.95), home);
+	t.equal(chosen(tableOf(entries, {[home]: {queuedTokens: 90_000, running: 90}}), affine, 400, () => 0.95), next);
+	t.end();
+});
+
+await t.test('the prefix memory follows notes, forgets work that did not run and stays within its bound', t => {
+	const memory = PrefixMemory.create(3);
+	const prefixes = [{hash: 'a', tokens: 10}, {hash: 'b', tokens: 300}];
+	memory.dispatched(prefixes, 'x', 0);
+	t.same(memory.lookup(prefixes, 1).hints, [{replicaId: 'x', cachedTokens: 300}]);
+	t.equal(chosen(tableOf([x, y], {x: {queuedTokens: 100}}), {...request, prefixes, known: memory.lookup(prefixes, 1)}), 'x');
+	memory.accepted(prefixes, {source: 'prefix-memory', cachedTokens: 300}, 0);
+	t.ok((memory.lookup(prefixes, 1).hints[0]?.cachedTokens ?? 0) < 300, 'an empty cache lowers the trust in notes');
+	memory.notRun(prefixes, 'x');
+	t.same(memory.lookup(prefixes, 1).hints, []);
+	memory.dispatched(['c', 'd', 'e', 'f'].map(hash => ({hash, tokens: 1})), 'x', 0);
+	t.equal(memory.size, 3);
+	t.same(memory.lookup([{hash: 'c', tokens: 1}], 1).hints, [], 'the least recently used note went first');
+	t.end();
+});
+
+await t.test('an explanation names every replica once, with its cost or the reason it was left out', t => {
+	const entries = [x, y, entry('far', 'a', 'other'), {...entry('old'), models: ['k']}, {...entry('gone'), leaving: true}, entry('shut'), entry('tried')];
+	const table = tableOf(entries).withClosed(new Set(['shut']));
+	const choice = explainChoice(table, {...request, excluded: new Set(['tried'])}, 400, () => 0);
+	t.same(new Map(choice.why.leftOut.map(({id, reason}) => [id, reason])), new Map([
+		['far', 'far'], ['old', 'wrong-model'], ['gone', 'leaving'], ['shut', 'closed'], ['tried', 'excluded'],
+	]));
+	t.same(choice.why.candidates.map(({id}) => id).toSorted(), ['x', 'y']);
+	t.end();
+});
+
+const modelCases: ReadonlyArray<readonly [string, string, boolean]> = [
+	['m@1', 'm', true],
+	['m@1', 'm@1', true],
+	['m@1', 'm@2', false],
+	['m@1+law', 'm', false],
+	['m@1+law', 'm+law', true],
+	['m', 'm@1', false],
+	['service:m', 'm', false],
+	['service:m', 'service:m', true],
+];
+await t.test('models, versions and adapters are respected', t => {
+	for (const [offered, wanted, expected] of modelCases) {
+		t.equal(servesModel(offered, wanted), expected, `${offered} for ${wanted}`);
+	}
+
+	t.end();
+});
+
+await t.test('subsets spread evenly and change little when one entry or endpoint joins', t => {
+	const entries = Array.from({length: 34}, (_, index) => `entry-${index}`);
+	const endpoints = Array.from({length: 160}, (_, index) => `endpoint-${index}`);
+	const links = (entryIds: readonly string[], endpointIds: readonly string[]) =>
+		new Set(entryIds.flatMap(id => subsetOf(id, entryIds, endpointIds, 20).map(endpoint => `${id} ${endpoint}`)));
+	const before = links(entries, endpoints);
+	const counts = endpoints.map(endpoint => [...before].filter(link => link.endsWith(` ${endpoint}`)).length);
+	t.ok(Math.max(...counts) - Math.min(...counts) <= 1, `subscribers of an endpoint: ${Math.min(...counts)} to ${Math.max(...counts)}`);
+	const changed = (after: ReadonlySet<string>) => [...before].filter(link => !after.has(link)).length;
+	// One join moves about one subset (20) or one quota (4); twice that is allowed for rounding.
+	t.ok(changed(links([...entries, 'entry-new'], endpoints)) <= 40);
+	t.ok(changed(links(entries, [...endpoints, 'endpoint-new'])) <= 20);
+	t.ok(changed(links(entries.slice(1), endpoints)) - 20 <= 40);
+	t.same(subsetOf('e', ['e'], ['b', 'a'], 5), ['a', 'b']);
+	t.end();
+});
+
+await t.test('rendezvous order moves only the keys of an id that leaves', t => {
+	const ids = ['a', 'b', 'c', 'd', 'e'];
+	for (let key = 0; key < 200; key++) {
+		const [first = '', second] = rendezvous(`k${key}`, ids, 2);
+		t.equal(rendezvous(`k${key}`, ids.filter(id => id !== first), 1)[0], second);
+	}
+
+	t.end();
+});
--- a/packages/routing/src/fleet-stats.ts
+++ b/packages/routing/src/fleet-stats.ts
@@ -60,7 +60,7 @@
 		meanQueuedTokens: queued / known,
 		meanRunning: running / known,
 		meanPeakTokensPerSecond: peak / known,
-		medianStepMs: steps.toSorted((a, b) => a - b)[Math.floor(known / 2)] ?? 0,
+		medianStepMs: steps.toSorted((a, b) => a - b)[Math.floor((known - 1) / 2)] ?? 0,
 		meanOwnTokens: own / known,
 	};
 }
