Add the benchmark command with the parts passing and throughput

Cause: the cost of the load balancer per request and per token, and the load that one entry carries, have to be measured against the same client without it.

Ruled out: taking processor time from the daemons' own metrics, since the daemons would measure themselves; /proc is read instead.

--- /dev/null
+++ b/packages/bench/src/fleet.ts
@@ -0,0 +1,127 @@
+/** Daemons and stand-ins of a measurement as separate processes, and their use of processor and memory. */
+import {readFileSync} from 'node:fs';
+import {request} from 'undici';
+import {keyHash, TestFleet, waitUntil} from '#harness';
+
+const KEY = 'key-of-the-bench-workspace';
+
+/** Time after which a fleet that does not serve is given up, in milliseconds. */
+const SERVING_LIMIT_MS = 60_000;
+
+/** Unit of processor time in /proc in milliseconds: Linux reports 100 ticks per second on all common platforms. */
+const TICK_MS = 10;
+
+/** Page size of /proc in bytes. */
+const PAGE_BYTES = 4096;
+
+/** Use of processor and memory by one process. */
+export type ProcessUsage = {readonly cpuMs: number; readonly rssBytes: number};
+
+export type BenchFleetOptions = {
+	readonly engines: number;
+	/** Arguments of each stand-in engine. */
+	readonly engineArgs: readonly string[];
+};
+
+/**
+ * Reads what a process has used since its start.
+ *
+ * @param stat - Content of `/proc/PID/stat`.
+ */
+export function parseProcessStat(stat: string): ProcessUsage {
+	// The name in brackets may contain blanks; the fields after it start with the third.
+	const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+	return {
+		cpuMs: (Number(fields[11]) + Number(fields[12])) * TICK_MS,
+		rssBytes: Number(fields[21]) * PAGE_BYTES,
+	};
+}
+
+export class BenchFleet {
+	/** Starts the platform, the engines with their endpoint processes and one entry, and waits until the entry serves. */
+	static async create(options: BenchFleetOptions): Promise<BenchFleet> {
+		const fleet = await TestFleet.create();
+		const bench = new BenchFleet(fleet);
+		try {
+			await fleet.putRules(1, [
+				'model drafting versions=1 # asked by bench: model of the measurement',
+				`workspace bench key-sha256=${keyHash(KEY)} priority=5 # asked by bench: caller of the measurement`,
+				'',
+			].join('\n'));
+			await fleet.addEntry();
+			for (let index = 0; index < options.engines; index++) {
+				await fleet.addEngine({models: ['drafting@1'], args: options.engineArgs});
+			}
+
+			await waitUntil('the entry serves all engines', async () => bench.#isServing(), SERVING_LIMIT_MS);
+			return bench;
+		} catch (error) {
+			const output = fleet.children.map(child => `--- ${child.name}\n${child.output.slice(-10).join('\n')}`).join('\n');
+			await fleet.destroy();
+			throw new Error(`the fleet did not start\n${output}`, {cause: error});
+		}
+	}
+
+	readonly workspace = {name: 'bench', key: KEY, weight: 1};
+	readonly #fleet: TestFleet;
+
+	private constructor(fleet: TestFleet) {
+		this.#fleet = fleet;
+	}
+
+	get entryUrl(): string {
+		return this.#fleet.entries[0]?.url ?? '';
+	}
+
+	get engineUrls(): readonly string[] {
+		return this.#fleet.endpoints.map(({backendUrl}) => backendUrl);
+	}
+
+	/** Use of the entry process. */
+	entryUsage(): ProcessUsage {
+		return this.#usage(this.#fleet.entries.map(({daemon}) => daemon.pid));
+	}
+
+	/** Use of all endpoint processes together. */
+	endpointUsage(): ProcessUsage {
+		return this.#usage(this.#fleet.endpoints.map(({daemon}) => daemon.pid));
+	}
+
+	/** Use of all stand-in engines together. */
+	engineUsage(): ProcessUsage {
+		return this.#usage(this.#fleet.endpoints.map(({backend}) => backend.pid));
+	}
+
+	/** Kills all processes of the fleet. */
+	async close(): Promise<void> {
+		await this.#fleet.destroy();
+	}
+
+	#usage(pids: readonly number[]): ProcessUsage {
+		let cpuMs = 0;
+		let rssBytes = 0;
+		for (const pid of pids) {
+			const usage = parseProcessStat(readFileSync(`/proc/${pid}/stat`, 'utf8'));
+			cpuMs += usage.cpuMs;
+			rssBytes += usage.rssBytes;
+		}
+
+		return {cpuMs, rssBytes};
+	}
+
+	/** Sends probes until each engine has run one, so that no engine is left out of the measurement. */
+	async #isServing(): Promise<boolean> {
+		await Promise.all(this.engineUrls.map(async () => this.#probe()));
+		const counts = await Promise.all(this.engineUrls.map(async url => this.#fleet.read(`${url}/counts`) as Promise<{readonly requests: number}>));
+		return counts.every(({requests}) => requests > 0);
+	}
+
+	async #probe(): Promise<void> {
+		const res = await request(`${this.entryUrl}/v1/chat/completions`, {
+			method: 'POST',
+			headers: {'content-type': 'application/json', authorization: `Bearer ${KEY}`},
+			body: JSON.stringify({model: 'drafting', max_tokens: 1, messages: [{role: 'user', content: 'ready?'}]}),
+		});
+		await res.body.dump();
+	}
+}
--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,10 @@
+/** Benchmark of the load balancer: parts, their registry, and the fleet that they measure. */
+export {
+	BenchFleet, parseProcessStat, type BenchFleetOptions, type ProcessUsage,
+} from './fleet.js';
+export type {BenchContext, BenchPart, BenchResult} from './part.js';
+export {median, passingPart} from './passing.js';
+export {
+	BENCH_PARTS, formatMachine, formatResult, readMachine, selectParts, writeResult, type MachineInfo,
+} from './registry.js';
+export {throughputPart} from './throughput.js';
--- /dev/null
+++ b/packages/bench/src/registry.ts
@@ -0,0 +1,82 @@
+/** Registry of the parts of the benchmark, and the writing of their results. */
+import {mkdirSync, writeFileSync} from 'node:fs';
+import {cpus, totalmem} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import type {BenchPart, BenchResult} from './part.js';
+import {passingPart} from './passing.js';
+import {throughputPart} from './throughput.js';
+import {renderChart, renderMarkdownTable, renderTextTable} from '#reports';
+import {InputError} from '#core';
+
+/** All parts in the order in which they run. */
+export const BENCH_PARTS: readonly BenchPart[] = [passingPart, throughputPart];
+
+/** Machine and time of a measurement. */
+export type MachineInfo = {
+	readonly processor: string;
+	readonly cores: number;
+	readonly memoryGb: number;
+	readonly node: string;
+	/** ISO 8601. */
+	readonly date: string;
+};
+
+export function readMachine(now: Date): MachineInfo {
+	return {
+		processor: cpus()[0]?.model ?? 'unknown',
+		cores: cpus().length,
+		memoryGb: Math.round(totalmem() / (2 ** 30)),
+		node: process.version,
+		date: now.toISOString(),
+	};
+}
+
+export function formatMachine({processor, cores, memoryGb, node, date}: MachineInfo): string {
+	return `${processor}, ${cores} cores, ${memoryGb} GB, Node ${node}, ${date}`;
+}
+
+/**
+ * Chooses parts by name; no names choose all.
+ *
+ * @throws InputError for a name that is not in the registry.
+ */
+export function selectParts(parts: readonly BenchPart[], names: readonly string[]): readonly BenchPart[] {
+	const unknown = names.find(name => !parts.some(part => part.name === name));
+	if (unknown !== undefined) {
+		throw new InputError(`bench: read ${JSON.stringify(unknown)}, allowed: ${parts.map(part => part.name).join(', ')}`);
+	}
+
+	return names.length === 0 ? parts : parts.filter(part => names.includes(part.name));
+}
+
+/** Renders a result for a terminal. */
+export function formatResult(result: BenchResult): string {
+	return [result.title, ...result.notes, ...result.tables.map(table => renderTextTable(table))].join('\n\n');
+}
+
+/**
+ * Writes `NAME.json` with machine, date and raw figures, `NAME.md` with tables, and one SVG file for each chart.
+ *
+ * @returns Paths of the files.
+ */
+export function writeResult(folder: string, name: string, machine: MachineInfo, result: BenchResult): readonly string[] {
+	mkdirSync(folder, {recursive: true});
+	const markdown = [
+		`# ${result.title}`,
+		`Measured on ${formatMachine(machine)}.`,
+		...result.notes,
+		...result.tables.map(table => renderMarkdownTable(table)),
+		...Object.entries(result.charts).map(([file, chart]) => `![${chart.title}](${file}.svg)`),
+	].join('\n\n');
+	const files: ReadonlyArray<readonly [string, string]> = [
+		[`${name}.json`, `${JSON.stringify({name, machine, ...result}, undefined, '\t')}\n`],
+		[`${name}.md`, `${markdown}\n`],
+		...Object.entries(result.charts).map(([file, chart]) => [`${file}.svg`, renderChart(chart)] as const),
+	];
+	for (const [file, content] of files) {
+		writeFileSync(path.join(folder, file), content);
+	}
+
+	return files.map(([file]) => path.join(folder, file));
+}
--- a/packages/load/src/run-load.ts
+++ b/packages/load/src/run-load.ts
@@ -73,7 +73,7 @@
 			const waitMs = startedAt + item.atMs - performance.now();
 			if (waitMs > 0) {
 				// Timers may fire up to a millisecond late; the lag is part of the measured times.
-				// eslint-disable-next-line no-await-in-loop
+
 				await sleep(waitMs);
 			}
 
