--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -2,16 +2,21 @@
 import {randomUUID} from 'node:crypto';
 import {type AddressInfo} from 'node:net';
 import {once} from 'node:events';
+import {setTimeout as sleep} from 'node:timers/promises';
 import fastify, {type FastifyInstance, type FastifyReply, type FastifyRequest} from 'fastify';
 import {AdminRoutes} from './admin.js';
 import {Answer} from './answer.js';
 import {AttemptTable} from './attempt-table.js';
+import {Claims} from './claims.js';
 import {deadlineOf, passedOnHeaders, workspaceOf} from './caller.js';
 import {Fleet} from './fleet.js';
 import {readInference} from './inference.js';
 import {ModelRequest, type RequestContext, type RequestEnd} from './model-request.js';
 import {refuse, type Refusal} from './refusal.js';
-import {ServiceRequest, toRequestEnd} from './service-request.js';
+import {Suspects} from './suspects.js';
+import {WorkspaceLimits} from './workspace-limits.js';
+import {OnceCall} from './once-call.js';
+import {ServiceRequest, toRequestEnd, type ServiceCall} from './service-request.js';
 import {type Logger, type Metrics} from '#telemetry';
 import {type EntrySettings} from '#settings';
 import {
@@ -19,15 +24,20 @@
 } from '#rules';
 import {PrefixMemory} from '#routing';
 import {type Peering} from '#peering';
-import {RetryBudget} from '#coordination';
+import {RetryBudget, type ObjectStore} from '#coordination';
 
 const MAX_HEADER_BYTES = 32 * 1024;
+/** Interval at which a draining entry looks whether outcomes of claims are still to be recorded. */
+const DRAIN_CHECK_MS = 100;
+
 const inferencePaths = ['/v1/chat/completions', '/v1/completions'] as const;
 const SERVICE_METHODS = ['GET', 'POST', 'PUT', 'PATCH', 'DELETE'] as const;
 
 export type EntryOptions = {
 	readonly settings: EntrySettings;
 	readonly peering: Peering;
+	/** Object store of the platform, for claims. */
+	readonly store: ObjectStore;
 	readonly log: Logger;
 	readonly metrics: Metrics;
 	readonly signal: AbortSignal;
@@ -44,6 +54,12 @@
 	readonly signal: AbortSignal;
 };
 
+/** A header that was sent once. */
+function headerOf(req: FastifyRequest, name: string): string | undefined {
+	const value = req.headers[name];
+	return typeof value === 'string' ? value : undefined;
+}
+
 /** Model, version and adapter as replicas offer them. */
 function offeredName({rule, version, adapter}: ResolvedModel): string {
 	const suffix = adapter === undefined ? '' : `+${adapter}`;
@@ -67,6 +83,7 @@
 	readonly #log: Logger;
 	readonly #http: FastifyInstance;
 	readonly #context: RequestContext;
+	readonly #claims: Claims;
 	readonly #idle = new EventTarget();
 	#inProgress = 0;
 	#draining = false;
@@ -83,9 +100,14 @@
 			attempts: AttemptTable.create(peering.pool, metrics),
 			prefixes: PrefixMemory.create(),
 			budget: RetryBudget.create(),
+			suspects: Suspects.create({peering, log: options.log}),
+			limits: WorkspaceLimits.create({peering, log: options.log, signal}),
 			metrics,
 			log: this.#log,
 		};
+		this.#claims = Claims.create({
+			peering, store: options.store, log: options.log, signal,
+		});
 		this.#http = fastify({
 			logger: false, bodyLimit: settings.maxBodyBytes, http: {maxHeaderSize: MAX_HEADER_BYTES}, forceCloseConnections: false,
 		});
@@ -107,8 +129,8 @@
 		this.#draining = true;
 		this.#options.peering.setLeaving(true);
 		this.#log.info('draining', {running: this.#inProgress});
-		while (this.#inProgress > 0) {
-			await once(this.#idle, 'idle');
+		while (this.#inProgress > 0 || this.#claims.pending > 0) {
+			await Promise.race([once(this.#idle, 'idle'), sleep(DRAIN_CHECK_MS)]);
 		}
 
 		this.#log.info('drained');
@@ -116,7 +138,10 @@
 
 	/** Closes the listening socket and idle connections. */
 	async close(): Promise<void> {
+		this.#claims.close();
 		this.#context.fleet.close();
+		this.#context.suspects.close();
+		this.#context.limits.close();
 		this.#context.attempts.close();
 		await this.#http.close();
 	}
@@ -153,7 +178,7 @@
 
 	#refuse(res: FastifyReply, requestId: string, refusal: Refusal): void {
 		this.#options.metrics.count('refusals', refusal.reason);
-		res.hijack();
+		void res.hijack();
 		Answer.create(res.raw, requestId, () => undefined).refuse(refusal);
 	}
 
@@ -189,7 +214,7 @@
 				hangUp.abort();
 			}
 		});
-		res.hijack();
+		void res.hijack();
 		this.#inProgress += 1;
 		this.#context.budget.noteRequest(Date.now());
 		try {
@@ -246,6 +271,12 @@
 			return reject(refuse('unknown-model', 'not-run', `the rules name no model ${inference.model}`));
 		}
 
+		const tokens = inference.inputTokens + inference.outputTokens;
+		const spent = this.#context.limits.spend(workspace.name, tokens, Date.now());
+		if (spent.kind === 'refused') {
+			return reject(refuse('over-limit', 'not-run', `workspace ${workspace.name} is over its limit`, spent.retryAfterMs / 1000));
+		}
+
 		const answer = Answer.create(res.raw, requestId, offset => {
 			request.delivered(offset);
 		});
@@ -255,6 +286,9 @@
 		const end = await request.run();
 		if (end.kind === 'refusal') {
 			answer.refuse(end);
+			if (end.outcome === 'not-run') {
+				this.#context.limits.refund(workspace.name, tokens, Date.now());
+			}
 		}
 
 		return end;
@@ -275,7 +309,7 @@
 			return refusal;
 		}
 
-		const request = ServiceRequest.create(this.#context, {
+		const serviceCall: ServiceCall = {
 			requestId,
 			workspace,
 			service: name,
@@ -287,27 +321,37 @@
 			once: isNonIdempotent(rule, req.method, path),
 			answer,
 			signal,
-		});
+		};
+		const request = serviceCall.once
+			? OnceCall.create({
+				context: this.#context,
+				claims: this.#claims,
+				metrics: this.#options.metrics,
+				rule,
+				call: serviceCall,
+				idempotencyKey: headerOf(req, 'idempotency-key'),
+			})
+			: ServiceRequest.create(this.#context, serviceCall);
 		const end = await request.run();
 		switch (end.kind) {
 			case 'answered': {
 				answer.send(end.whole);
-
 				break;
 			}
 
 			case 'streamed': {
 				answer.finish();
-
 				break;
 			}
 
 			case 'refusal': {
 				answer.refuse(end);
+				break;
+			}
 
+			case 'abandoned': {
 				break;
 			}
-		// No default
 		}
 
 		return toRequestEnd(end);
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -70,7 +70,7 @@
 		requestId, attempt: count, totalBytes: count, from: count, hash: z.string().max(16), load: loadSchema,
 	}),
 	failed: z.object({
-		requestId, attempt: count, reason: name, outcome, crashed: z.boolean(), fingerprints: z.array(name).max(4096).readonly(),
+		requestId, attempt: count, reason: name, outcome, crashId: name, alone: z.boolean(),
 	}),
 	cancel: z.object({requestId, attempt: count}),
 	ack: z.object({requestId, attempt: count, offset: count}),
@@ -90,6 +90,7 @@
 	announce: z.object({machine: z.unknown(), incarnation: z.string().max(64)}),
 	demand: z.object({items: z.array(demandSchema).max(4096).readonly()}),
 	grant: z.object({items: z.array(grantSchema).max(4096).readonly()}),
+	suspects: z.object({fingerprints: z.array(name).max(4096).readonly()}),
 	ask: z.object({id: count, topic: name, payload: z.unknown()}),
 	answer: z.object({id: count, payload: z.unknown()}),
 	map: z.object({group: name, payload: z.unknown()}),
