--- a/packages/bench/src/passing.ts
+++ b/packages/bench/src/passing.ts
@@ -121,7 +121,7 @@
 		title: 'Passing: what entry and endpoint add',
 		notes: [
 			`${ROUNDS} rounds of ${WHOLE_CALLS} whole answers of one token and ${STREAM_CALLS} streams of ${STREAM_TOKENS} tokens, `
-			+ `in turn straight to one stand-in engine and through one entry and one endpoint; medians of the rounds.`,
+			+ 'in turn straight to one stand-in engine and through one entry and one endpoint; medians of the rounds.',
 			`${failures} calls without a correct answer; idle use of processor: entry ${idle.entry.toFixed(1)} ms/s, endpoint ${idle.endpoint.toFixed(1)} ms/s (subtracted).`,
 		],
 		tables: [
--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -1,6 +1,6 @@
 /** Registry of the parts of the benchmark, and the writing of their results. */
 import {mkdirSync, writeFileSync} from 'node:fs';
-import {cpus, totalmem} from 'node:os';
+import {cpus, loadavg, totalmem} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
 import type {BenchPart, BenchResult} from './part.js';
@@ -18,6 +18,8 @@
 	readonly cores: number;
 	readonly memoryGb: number;
 	readonly node: string;
+	/** Load average of the last minute at the start; other work on the machine disturbs the figures. */
+	readonly loadAverage: number;
 	/** ISO 8601. */
 	readonly date: string;
 };
@@ -28,12 +30,13 @@
 		cores: cpus().length,
 		memoryGb: Math.round(totalmem() / (2 ** 30)),
 		node: process.version,
+		loadAverage: loadavg()[0] ?? 0,
 		date: now.toISOString(),
 	};
 }
 
-export function formatMachine({processor, cores, memoryGb, node, date}: MachineInfo): string {
-	return `${processor}, ${cores} cores, ${memoryGb} GB, Node ${node}, ${date}`;
+export function formatMachine({processor, cores, memoryGb, node, loadAverage, date}: MachineInfo): string {
+	return `${processor}, ${cores} cores, ${memoryGb} GB, Node ${node}, load average ${loadAverage.toFixed(1)} at the start, ${date}`;
 }
 
 /**
