Serve versions and adapters of a model name in the stand-in engine

Cause: rules let callers ask for NAME@VERSION+ADAPTER, and entries pass bodies on unaltered, so the engine refused such names as unknown. Change: an engine that is started with a plain name serves all its versions and adapters; bar charts shrink long category names that would overlap. Conclusion: answers are checked for models with versions as well.

--- a/packages/reports/src/chart.ts
+++ b/packages/reports/src/chart.ts
@@ -30,6 +30,9 @@
 	left: 80, top: 50, right: 780, bottom: 320,
 };
 
+/** Width of a character as a share of the font size. */
+const CHARACTER_WIDTH = 0.55;
+
 /** Colours that people with colour blindness can tell apart, with dashes as a second mark. */
 const COLOURS = ['#0072b2', '#d55e00', '#009e73', '#cc79a7', '#e69f00', '#56b4e9', '#000000'];
 const DASHES = ['', '6 3', '2 2', '8 3 2 3'];
@@ -120,7 +123,15 @@
 	const axis = createAxis(chart.series.flatMap(({values}) => [...values]));
 	const slot = (PLOT.right - PLOT.left) / Math.max(1, chart.categories.length);
 	const width = slot * 0.8 / Math.max(1, chart.series.length);
-	const labels = chart.categories.map((name, index) => text(PLOT.left + (slot * (index + 0.5)), PLOT.bottom + 18, name, 'text-anchor="middle"'));
+	// Long names of many categories would run into one another, so their characters are made narrower.
+	const longest = Math.max(1, ...chart.categories.map(name => name.length));
+	const size = Math.max(6, Math.min(12, Math.floor(slot / longest / CHARACTER_WIDTH)));
+	const labels = chart.categories.map((name, index) => text(
+		PLOT.left + (slot * (index + 0.5)),
+		PLOT.bottom + 18,
+		name,
+		`text-anchor="middle" font-size="${size}"`,
+	));
 	const bars = chart.series.flatMap(({values}, series) => values.slice(0, chart.categories.length).flatMap((value, index) => {
 		if (!Number.isFinite(value)) {
 			return [];
--- a/packages/standins-engine/__tests__/unit/engine-server.test.ts
+++ b/packages/standins-engine/__tests__/unit/engine-server.test.ts
@@ -148,3 +148,21 @@
 	const count = await get('/counts/r2') as {runs: number; body: string};
 	t.ok(Buffer.from(count.body, 'base64').equals(expectedBytes('text', prompt, 'r2')));
 });
+
+await t.test('a name without version and adapter serves all of them, and no other name', async t => {
+	const server = await startEngine(t, {models: ['drafting', 'swap@2']});
+	const cases = [['drafting', 200], ['drafting@3+tamil', 200], ['swap@2', 200], ['swap@1', 404], ['draft', 404]] as const;
+	const statuses = await Promise.all(cases.map(async ([model]) => statusOf(server, '/v1/completions', {model, prompt: 'x', max_tokens: 1}, model)));
+	t.same(statuses, cases.map(([, status]) => status));
+});
+
+await t.test('a stalled engine makes no token until the stall ends, and keeps its requests', async t => {
+	const server = await startEngine(t);
+	server.inject({stallMs: 3_600_000});
+	const answer = post(server, '/v1/completions', {model: 'drafting', prompt: 'x', max_tokens: 2});
+	await until(() => server.counts().requests === 1);
+	t.match(await statusOf(server, '/v1/cancel/other', {}), 404);
+	t.equal(server.counts().tokens, 0);
+	server.inject({stallMs: 0});
+	t.match(await answer, {status: 200});
+});
--- a/packages/standins-engine/src/engine.ts
+++ b/packages/standins-engine/src/engine.ts
@@ -20,6 +20,12 @@
 import {failed, ok, type Result} from '#core';
 import type {EngineOrder, EngineState, OrderAnswer} from '#expertmap';
 
+/** A name without version and adapter serves all of them (`NAME[@VERSION][+ADAPTER]`). */
+function servesModel(models: readonly string[], wanted: string): boolean {
+	const [name = wanted] = wanted.split(/[@+]/u);
+	return models.includes(wanted) || models.includes(name);
+}
+
 /** Load as `/v1/load` reports it. */
 export type EngineLoad = {
 	/** Prompt and answer tokens of queued requests, and unprocessed prompt tokens of running ones. */
@@ -147,7 +153,7 @@
 			return failed({kind: 'refused', status: this.#faults.refuse});
 		}
 
-		if (!this.options.models.includes(request.model)) {
+		if (!servesModel(this.options.models, request.model)) {
 			return failed({kind: 'unknown-model'});
 		}
 
