Measure throughput with steps below the token target and twelve replicas

Cause: with steps of 70 ms the endpoints' admission, which aims at 67 ms, shrank to its minimum of 4 requests for each engine: 1,451 of 1,500 calls were refused (271 overloaded, 1,180 retry-budget). Change: steps of 60 ms, and 12 engines, since an endpoint starts with 64 requests at once and grows by one a second. Ruled out: a fault of the generator or the engines; straight to four engines the same load had 529 of 529 calls ok.

--- a/packages/bench/src/throughput.ts
+++ b/packages/bench/src/throughput.ts
@@ -8,17 +8,18 @@
 	runLoad, type DurationSummary, type LoadRecorder, type LoadReport,
 } from '#load';
 
-/** An entry's share of the fleet's peak (design page, section 1.5). */
+/** An entry's share of the fleet's peak is 670 open streams and 10,000 tokens/s (design page, section 1.5). */
 const OPEN_STREAMS = 700;
-const TOKENS_PER_SECOND = 10_000;
+const MIN_TOKENS_PER_SECOND = 10_000;
 
-/** A stream of 25 s at 70 ms between tokens: 700 streams make 10,000 tokens/s. */
-const STEP_MS = OPEN_STREAMS * 1000 / TOKENS_PER_SECOND;
+/** Time between tokens, below the target of 67 ms: an endpoint takes less work from an engine with longer steps. */
+const STEP_MS = 60;
 const STREAM_SECONDS = 25;
 const STREAM_TOKENS = Math.round(STREAM_SECONDS * 1000 / STEP_MS);
 const RATE = OPEN_STREAMS / STREAM_SECONDS;
 
-const ENGINES = 4;
+/** As many replicas as both deployments have; an endpoint starts with 64 requests at once and 700 streams need 58 on each. */
+const ENGINES = 12;
 const RAMP_SECONDS = STREAM_SECONDS;
 const STEADY_SECONDS = 30;
 const SAMPLE_MS = 1000;
@@ -187,6 +188,6 @@
 
 export const throughputPart: BenchPart = {
 	name: 'throughput',
-	description: `${OPEN_STREAMS} open streams and ${TOKENS_PER_SECOND} tokens/s through one entry`,
+	description: `${OPEN_STREAMS} open streams and at least ${MIN_TOKENS_PER_SECOND} tokens/s through one entry`,
 	run: runThroughput,
 };
