Rebalance groups from observed expert loads

Cause: nothing drove the planner, and prefix hits were not told to entries. Change: the leader sums the expert loads of its group's engines each interval, asks the planner under the model's rule and proposes its map; endpoints tell how much of a prompt they hold; the harness starts lock-step groups, and a test changes maps under load and faults.

--- a/packages/endpoint/src/endpoint.ts
+++ b/packages/endpoint/src/endpoint.ts
@@ -8,6 +8,8 @@
 import {GroupAgent} from './group-agent.js';
 import {CrashWindow} from './crash-window.js';
 import {Intake, type Job} from './intake.js';
+import {Rebalancer} from './rebalancer.js';
+import {PrefixLog} from './prefix-log.js';
 import {LoadMonitor} from './load-monitor.js';
 import {WorkRun, type RunEnd, type RunSource} from './work-run.js';
 import {type ObjectStore} from '#coordination';
@@ -54,7 +56,9 @@
 	readonly #runs = new Map<string, WorkRun>();
 	readonly #seen = new Set<string>();
 	readonly #agent: GroupAgent | undefined;
+	readonly #rebalancer: Rebalancer | undefined;
 	readonly #subscribers = new Set<PeerLink>();
+	readonly #prefixes = PrefixLog.create();
 	readonly #intake: Intake;
 	readonly #crashes: CrashWindow;
 	readonly #idle = new EventTarget();
@@ -86,7 +90,10 @@
 		});
 		this.#crashes = CrashWindow.create({
 			active: () => new Set(this.#runs.keys()),
-			onCrash: () => this.#intake.crashed(Date.now()),
+			onCrash: () => {
+				this.#prefixes.clear();
+				return this.#intake.crashed(Date.now());
+			},
 			prefix: `${settings.id}/${peering.incarnation}`,
 		});
 		this.#agent = settings.backend.kind === 'model' && this.#engine !== undefined
@@ -94,6 +101,7 @@
 				group: settings.backend.group, peering, engine: this.#engine, store: options.store, createId: randomUUID, log: options.log, metrics: options.metrics, signal,
 			})
 			: undefined;
+		this.#rebalancer = this.#createRebalancer();
 		this.#teardown = mergeTeardowns(
 			peering.pool.registerLinkListener(link => {
 				this.#onLink(link);
@@ -140,10 +148,32 @@
 	/** Closes the connections to the back end. */
 	async close(): Promise<void> {
 		this.#teardown();
+		this.#rebalancer?.close();
 		await this.#agent?.close();
 		await Promise.all([this.#engine?.close(), this.#service?.close()]);
 	}
 
+	#createRebalancer(): Rebalancer | undefined {
+		const {settings, peering, log, metrics, signal} = this.#options;
+		const {backend} = settings;
+		if (backend.kind !== 'model' || this.#agent === undefined || this.#engine === undefined) {
+			return undefined;
+		}
+
+		return Rebalancer.create({
+			agent: this.#agent,
+			peering,
+			engine: this.#engine,
+			group: backend.group,
+			groupSize: backend.groupSize,
+			model: (backend.models[0] ?? '').split('@')[0] ?? '',
+			intervalMs: backend.rebalanceSeconds * 1000,
+			log,
+			metrics,
+			signal,
+		});
+	}
+
 	get #closedByRule(): boolean {
 		const {zone, id, group} = this.#options.peering.machine;
 		const names = group === undefined ? {zone, id} : {zone, id, group};
@@ -226,7 +256,7 @@
 		if (this.#intake.offer(job, now)) {
 			const {requestId, attempt} = work;
 			link.send({
-				kind: 'accepted', requestId, attempt, cachedTokens: 0, load: this.#load(),
+				kind: 'accepted', requestId, attempt, cachedTokens: this.#prefixes.note(work.prefixes, now), load: this.#load(),
 			});
 			this.#intake.pump(now);
 		}
--- a/packages/endpoint/src/map-record-store.ts
+++ b/packages/endpoint/src/map-record-store.ts
@@ -4,7 +4,9 @@
 import {type MapRecord, type RecordOutcome} from '#expertmap';
 
 const mapSchema = z.object({version: z.number().int().nonnegative(), map: z.object({slots: z.array(z.array(z.array(z.number().int().nonnegative())))})});
-const recordSchema = z.object({installed: mapSchema, planned: mapSchema.exactOptional(), writeId: z.string()});
+const recordSchema = z.object({
+	installed: mapSchema, planned: mapSchema.exactOptional(), fence: z.number().int().nonnegative(), writeId: z.string(),
+});
 const leaseSchema = z.object({fence: z.number().int().nonnegative()});
 
 export class MapRecordStore {
@@ -34,7 +36,7 @@
 		const read = await this.#store.read(this.#name);
 		if (read.kind === 'failed') {
 			this.#version = undefined;
-			return read.failure.kind === 'missing' ? {installed: {version: mapVersion, map: {slots: []}}} : undefined;
+			return read.failure.kind === 'missing' ? {installed: {version: mapVersion, map: {slots: []}}, fence: 0} : undefined;
 		}
 
 		const parsed = recordSchema.safeParse(read.value.value);
@@ -43,8 +45,8 @@
 		}
 
 		this.#version = read.value.resourceVersion;
-		const {installed, planned} = parsed.data;
-		return planned === undefined ? {installed} : {installed, planned};
+		const {installed, planned, fence} = parsed.data;
+		return planned === undefined ? {installed, fence} : {installed, planned, fence};
 	}
 
 	/** Writes the record if nobody else has since it was loaded. */
--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -111,9 +111,13 @@
 		this.update((table, now) => table.withAnswer(id, now, toReport(load)));
 	}
 
-	/** Notes work that is sent; the teardown notes that it has ended. */
-	dispatch(id: string, work: Work): Teardown {
-		this.update((table, now) => table.withDispatch(id, work, now));
+	/**
+	 * Notes work that is sent; the teardown notes that it has ended.
+	 *
+	 * @param cachedTokens - Prompt tokens that the choice expects in the replica's cache.
+	 */
+	dispatch(id: string, work: Work, cachedTokens: number): Teardown {
+		this.update((table, now) => table.withDispatch(id, work, cachedTokens, now));
 		return () => {
 			this.update(table => table.withFinish(id, work));
 		};
--- a/packages/entry/src/model-request.ts
+++ b/packages/entry/src/model-request.ts
@@ -19,7 +19,9 @@
 import {type Peering} from '#peering';
 import {type MessageOf, type PeerLink} from '#protocol';
 import {type RunEnd} from '#quarantine';
-import {type PrefixMemory, type Replica, type RouteRequest} from '#routing';
+import {
+	type CandidateSource, type PrefixMemory, type Replica, type RouteRequest,
+} from '#routing';
 import {type WorkspaceRule} from '#rules';
 import {type Logger, type Metrics} from '#telemetry';
 
@@ -71,6 +73,14 @@
 		| {readonly kind: 'abandoned'}
 		| Refusal;
 
+/** The replica chosen for one attempt, and what the choice expects of it. */
+type Chosen = {
+	readonly kind: 'replica';
+	readonly replica: Replica;
+	readonly cachedTokens: number;
+	readonly source: CandidateSource;
+};
+
 /** Permission for one attempt. */
 type Permit = {
 	readonly kind: 'permit';
@@ -137,19 +147,19 @@
 				return this.#settle(choice);
 			}
 
-			const chosen = choice.replica;
 			const permit = await this.#permit();
 			if (permit.kind === 'refusal') {
 				return this.#settle(permit);
 			}
 
-			const end = await this.#try(chosen, permit);
+			const end = await this.#try(choice, permit);
 			await this.#reportEnd(end, permit);
 			if (end.kind === 'done') {
 				answer.finish();
 				return {kind: 'done'};
 			}
 
+			const chosen = choice.replica;
 			const next = this.#next(end, chosen);
 			if (next.kind === 'stop') {
 				return this.#settle(next.refusal);
@@ -232,7 +242,7 @@
 		};
 	}
 
-	#choose(): {readonly kind: 'replica'; readonly replica: Replica} | Refusal {
+	#choose(): Chosen | Refusal {
 		const choice = this.#context.fleet.choose(this.#routeRequest());
 		if (choice.kind === 'none') {
 			return refuse(choice.reason, 'not-run', `no endpoint takes work for ${this.#options.model}`, 1);
@@ -243,7 +253,9 @@
 			return refuse(admission.reason, 'not-run', 'the request cannot meet its deadline', admission.retryAfterMs / 1000);
 		}
 
-		return {kind: 'replica', replica: choice.replica};
+		return {
+			kind: 'replica', replica: choice.replica, cachedTokens: choice.cachedTokens, source: choice.why.candidates[0]?.source ?? 'random',
+		};
 	}
 
 	/** Permission for the next attempt: a suspect waits for its home's answer, everything else runs at once. */
@@ -297,7 +309,8 @@
 		}
 	}
 
-	async #try(replica: Replica, permit: Permit): Promise<AttemptEnd> {
+	async #try(chosen: Chosen, permit: Permit): Promise<AttemptEnd> {
+		const {replica} = chosen;
 		const {peering, fleet, attempts, metrics} = this.#context;
 		const {inference} = this.#options;
 		this.#attempts += 1;
@@ -309,8 +322,8 @@
 		}
 
 		const startedAt = performance.now();
-		const finished = fleet.dispatch(replica.id, inference);
-		const attempt = this.#createAttempt(link, replica, permit);
+		const finished = fleet.dispatch(replica.id, inference, chosen.cachedTokens);
+		const attempt = this.#createAttempt(link, chosen, permit);
 		this.#attempt = attempt;
 		const forget = attempts.add(attempt);
 		attempt.start();
@@ -323,17 +336,17 @@
 		}
 	}
 
-	#createAttempt(link: PeerLink, replica: Replica, permit: Permit): Attempt {
+	#createAttempt(link: PeerLink, chosen: Chosen, permit: Permit): Attempt {
+		const {replica} = chosen;
 		const {fleet, prefixes, metrics} = this.#context;
 		const {answer, inference, signal} = this.#options;
-		const known = prefixes.lookup(inference.prefixes, Date.now());
 		prefixes.dispatched(inference.prefixes, replica.id, Date.now());
 		const attempt = Attempt.create({
 			link,
 			work: this.#work(permit),
 			sink: {
 				onAccepted({cachedTokens}) {
-					prefixes.accepted(inference.prefixes, known, replica.id, cachedTokens);
+					prefixes.accepted(inference.prefixes, chosen, cachedTokens);
 				},
 				onHead(status, headers) {
 					answer.begin({status, headers});
@@ -379,6 +392,7 @@
 			resumeOffset: answer.committedBytes,
 			prefixHash: answer.committedHash,
 			tokens: inference.inputTokens + inference.outputTokens,
+			prefixes: inference.prefixes.map(({hash, tokens}) => [hash, tokens] as const),
 		};
 	}
 
--- a/packages/entry/src/service-request.ts
+++ b/packages/entry/src/service-request.ts
@@ -135,7 +135,7 @@
 			return {kind: 'not-sent'};
 		}
 
-		const finished = fleet.dispatch(replica.id, CALL_WORK);
+		const finished = fleet.dispatch(replica.id, CALL_WORK, 0);
 		const attempt = Attempt.create({
 			link,
 			work: {
@@ -157,6 +157,7 @@
 				resumeOffset: 0,
 				prefixHash: '',
 				tokens: 1,
+				prefixes: [],
 			},
 			sink: {
 				onAccepted() {
--- a/packages/harness/src/index.ts
+++ b/packages/harness/src/index.ts
@@ -1,7 +1,7 @@
 /** Public index: real processes for tests, the demo and benchmarks. Development only. */
 export {Child} from './child.js';
 export {
-	keyHash, OPERATOR_KEY, PLATFORM_KEY, SHARED_KEY, TestFleet, type EndpointNode, type EngineOptions, type EntryNode, type Place, type ServiceOptions,
+	keyHash, OPERATOR_KEY, PLATFORM_KEY, SHARED_KEY, TestFleet, type EndpointNode, type EngineOptions, type EntryNode, type GroupOptions, type Place, type ServiceOptions,
 } from './test-fleet.js';
 export {waitUntil} from './wait.js';
 export {
--- a/packages/harness/src/test-fleet.ts
+++ b/packages/harness/src/test-fleet.ts
@@ -16,6 +16,9 @@
 export const OPERATOR_KEY = 'operator-key-of-the-test-fleet';
 const LOOPBACK = '127.0.0.1';
 
+/** Ranks of a group, as many as layers have experts. */
+const GROUP_RANKS = 64;
+
 /** Where a machine of the fleet stands. */
 export type Place = {readonly region?: string; readonly zone?: string};
 
@@ -28,6 +31,9 @@
 	readonly args?: readonly string[];
 };
 
+/** Options of a group of engines; `rebalanceSeconds` as in the settings. */
+export type GroupOptions = EngineOptions & {readonly rebalanceSeconds?: number};
+
 export type ServiceOptions = Place & {readonly service: string; readonly args?: readonly string[]};
 
 /** A back end with its endpoint process. */
@@ -50,6 +56,26 @@
 	readonly instance: Readonly<Record<string, unknown>>;
 };
 
+type EndpointPlan = {
+	readonly id: string;
+	readonly backend: Child;
+	/** Port of the back end. */
+	readonly port: number;
+	readonly place: Place;
+	/** Rest of the settings' endpoint section. */
+	readonly section: string;
+	/** The machine as the platform lists it, without its address. */
+	readonly instance: Readonly<Record<string, unknown>>;
+};
+
+type SettingsPlan = {
+	readonly id: string;
+	readonly role: 'entry' | 'endpoint';
+	readonly place: Place;
+	readonly section: string;
+	readonly seeds: readonly string[];
+};
+
 /** SHA-256 of a key as the rules and settings hold it. */
 export function keyHash(key: string): string {
 	return createHash('sha256').update(key).digest('hex');
@@ -124,23 +150,57 @@
 		const groupSize = options.groupSize ?? 8;
 		const ranks = options.ranks ?? '0-7';
 		const section = `kind = model\ngroup = ${group}\ngroup-size = ${groupSize}\nranks = ${ranks}\nmodels = ${models.join(',')}\n`;
-		return this.#addEndpoint(id, backend, options, section, {
-			kind: 'model', group, ranks: [Number(ranks.split('-')[0])], models,
+		return this.#addEndpoint({
+			id, backend, port: Number(backend.hello.listening), place: options, section, instance: {kind: 'model', group, ranks: [Number(ranks.split('-')[0])], models},
 		});
 	}
 
+	/**
+	 * Starts one engine process whose engines advance in lock-step, and an endpoint process beside each.
+	 *
+	 * @param members - Number of endpoints; the 64 ranks are divided among them.
+	 */
+	async addGroup(members: number, options: GroupOptions = {}): Promise<readonly EndpointNode[]> {
+		const ids = Array.from({length: members}, () => {
+			this.#endpointCount += 1;
+			return `ep-${this.#endpointCount}`;
+		});
+		const group = options.group ?? 'group-1';
+		const models = options.models ?? ['drafting@1'];
+		const names = [...new Set(models.map(model => model.split('@')[0] ?? model))];
+		const backend = await Child.create(`engines of ${group}`, 'dist/standins-engine/src/bin.js', [
+			...names.flatMap(name => ['--model', name]), ...ids.flatMap(id => ['--rank-id', id]), ...options.args ?? [],
+		]);
+		const ports = backend.hello.ports as readonly number[];
+		const ranksEach = GROUP_RANKS / members;
+		return Promise.all(ids.map(async (id, i) => {
+			const first = i * ranksEach;
+			const section = [
+				'kind = model', `group = ${group}`, `group-size = ${GROUP_RANKS}`, `ranks = ${first}-${first + ranksEach - 1}`, `models = ${models.join(',')}`,
+				`rebalance-seconds = ${options.rebalanceSeconds ?? 30}`, '',
+			].join('\n');
+			return this.#addEndpoint({
+				id, backend, port: ports[i] ?? 0, place: options, section, instance: {kind: 'model', group, ranks: [first], models},
+			});
+		}));
+	}
+
 	async addService(options: ServiceOptions): Promise<EndpointNode> {
 		this.#endpointCount += 1;
 		const id = `ep-${this.#endpointCount}`;
 		const backend = await Child.create(`service of ${id}`, 'dist/standins-service/src/bin.js', [...options.args ?? []]);
-		return this.#addEndpoint(id, backend, options, `kind = service\nservice = ${options.service}\n`, {kind: 'service', service: options.service});
+		return this.#addEndpoint({
+			id, backend, port: Number(backend.hello.listening), place: options, section: `kind = service\nservice = ${options.service}\n`, instance: {kind: 'service', service: options.service},
+		});
 	}
 
 	async addEntry(options: Place & {readonly seeds?: readonly string[]} = {}): Promise<EntryNode> {
 		this.#entryCount += 1;
 		const id = `entry-${this.#entryCount}`;
 		const section = `[entry]\nlisten = ${LOOPBACK}:0\noperator-key-sha256 = ${keyHash(OPERATOR_KEY)}\n`;
-		const settingsFile = this.#writeSettings(id, 'entry', options, section, options.seeds ?? []);
+		const settingsFile = this.#writeSettings({
+			id, role: 'entry', place: options, section, seeds: options.seeds ?? [],
+		});
 		const daemon = await Child.create(id, 'dist/daemon/src/bin.js', [settingsFile]);
 		const instance = {
 			id, role: 'entry', kind: 'entry', zone: options.zone ?? 'colombo-a', region: options.region ?? 'lk-west',
@@ -225,9 +285,11 @@
 		rmSync(this.#folder, {recursive: true, force: true});
 	}
 
-	async #addEndpoint(id: string, backend: Child, place: Place, section: string, instance: Readonly<Record<string, unknown>>): Promise<EndpointNode> {
-		const backendUrl = `http://${LOOPBACK}:${String(backend.hello.listening)}`;
-		const settingsFile = this.#writeSettings(id, 'endpoint', place, `[endpoint]\nbackend-url = ${backendUrl}\n${section}`, []);
+	async #addEndpoint({id, backend, port, place, section, instance}: EndpointPlan): Promise<EndpointNode> {
+		const backendUrl = `http://${LOOPBACK}:${port}`;
+		const settingsFile = this.#writeSettings({
+			id, role: 'endpoint', place, section: `[endpoint]\nbackend-url = ${backendUrl}\n${section}`, seeds: [],
+		});
 		const daemon = await Child.create(id, 'dist/daemon/src/bin.js', [settingsFile]);
 		const node: EndpointNode = {
 			id,
@@ -256,7 +318,7 @@
 		await this.register(node.id, {...node.instance, address: node.address, state: 'live'});
 	}
 
-	#writeSettings(id: string, role: 'entry' | 'endpoint', place: Place, section: string, seeds: readonly string[]): string {
+	#writeSettings({id, role, place, section, seeds}: SettingsPlan): string {
 		const file = path.join(this.#folder, `${id}.ini`);
 		const known = [...seeds, ...this.entries.map(({address}) => address)].slice(0, 3);
 		const seedLine = known.length === 0 ? '' : `seeds = ${known.join(',')}\n`;
--- a/packages/integration/src/fixtures.ts
+++ b/packages/integration/src/fixtures.ts
@@ -1,7 +1,7 @@
 /** Rules and fleets that the integration tests share. */
 import {Buffer} from 'node:buffer';
 import {
-	Caller, keyHash, TestFleet, type EndpointNode, type EngineOptions, type ServiceOptions,
+	Caller, keyHash, TestFleet, type EndpointNode, type EngineOptions, type GroupOptions, type ServiceOptions,
 } from '#harness';
 
 export const CLERK_KEY = 'key-of-the-clerks-desk';
@@ -24,6 +24,7 @@
 	readonly entries?: number;
 	readonly engines?: readonly EngineOptions[];
 	readonly services?: readonly ServiceOptions[];
+	readonly groups?: ReadonlyArray<GroupOptions & {readonly members: number}>;
 	readonly rules?: string;
 	readonly platformArgs?: readonly string[];
 };
@@ -38,6 +39,7 @@
 	await Promise.all(Array.from({length: plan.entries ?? 1}, async () => fleet.addEntry()));
 	await Promise.all([
 		...(plan.engines ?? []).map(async options => fleet.addEngine(options)),
+		...(plan.groups ?? []).map(async ({members, ...options}) => fleet.addGroup(members, options)),
 		...(plan.services ?? []).map(async options => fleet.addService(options)),
 	]);
 	await fleet.settled();
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -53,6 +53,8 @@
 		resumeOffset: count,
 		prefixHash: z.string().max(16),
 		tokens: count,
+		/** Prefixes of the prompt, shortest first: hash and length in tokens. */
+		prefixes: z.array(z.tuple([z.string().max(16), count]).readonly()).max(16).readonly(),
 	}),
 	accepted: z.object({
 		requestId, attempt: count, cachedTokens: count, load: loadSchema,
--- a/packages/settings/src/format.ts
+++ b/packages/settings/src/format.ts
@@ -57,6 +57,7 @@
 				'group-size': backend.groupSize,
 				ranks: `${backend.ranks.first}-${backend.ranks.last}`,
 				models: backend.models.join(', '),
+				'rebalance-seconds': backend.rebalanceSeconds,
 			};
 		}
 
--- a/packages/settings/src/model.ts
+++ b/packages/settings/src/model.ts
@@ -60,6 +60,8 @@
 		/** Ranks of this endpoint, first and last, counted from 0. */
 		readonly ranks: {readonly first: number; readonly last: number};
 		readonly models: readonly string[];
+		/** Interval at which the group's leader weighs a change of the expert map, seconds. */
+		readonly rebalanceSeconds: number;
 	}
 	| {readonly kind: 'service'; readonly service: string};
 
@@ -77,6 +79,8 @@
 	logLevel: 'info',
 	// A body travels in one message between processes, whose limit is 1 MiB.
 	maxBodyBytes: 768 * 1024,
+	// Expert popularity drifts over hours and jumps within minutes; loads of 64 ranks cost their leader about 2 KB/s at this interval.
+	rebalanceSeconds: 30,
 	// Reports of 64 bytes from 64 endpoints a second leave room in 5 KB/s for heartbeats, demand and the directory.
 	subsetSize: 64,
 } as const;
--- a/packages/settings/src/read.ts
+++ b/packages/settings/src/read.ts
@@ -21,7 +21,9 @@
 const MAX_SUBSET = 2000;
 const MAX_GROUP_SIZE = 4096;
 
-const modelKeys = ['group', 'group-size', 'ranks', 'models'] as const;
+const MAX_REBALANCE_SECONDS = 3600;
+
+const modelKeys = ['group', 'group-size', 'ranks', 'models', 'rebalance-seconds'] as const;
 
 const knownKeys: KnownKeys = {
 	daemon: ['role', 'id', 'region', 'zone', 'address', 'log-level'],
@@ -137,15 +139,16 @@
 	const groupSize = endpoint.required('group-size', readInteger(1, MAX_GROUP_SIZE));
 	const ranks = endpoint.required('ranks', readRanks);
 	const models = endpoint.required('models', readList(readModelName));
+	const rebalanceSeconds = endpoint.optional('rebalance-seconds', readInteger(1, MAX_REBALANCE_SECONDS), settingsDefaults.rebalanceSeconds);
 	const entry = endpoint.entry('ranks');
 	if (entry !== undefined && ranks !== undefined && groupSize !== undefined && ranks.last >= groupSize) {
 		endpoint.report(entry, `${ranks.first}-${ranks.last}`, `ranks from 0 to ${groupSize - 1}, below group-size`);
 	}
 
-	return group === undefined || groupSize === undefined || ranks === undefined || models === undefined
+	return group === undefined || groupSize === undefined || ranks === undefined || models === undefined || rebalanceSeconds === undefined
 		? undefined
 		: {
-			kind, group, groupSize, ranks, models,
+			kind, group, groupSize, ranks, models, rebalanceSeconds,
 		};
 }
 
--- a/packages/standins-engine/src/engine-server.ts
+++ b/packages/standins-engine/src/engine-server.ts
@@ -225,6 +225,7 @@
 			return this.engine.faults;
 		});
 		this.#app.get('/counts', async () => this.counts());
+		this.#app.get('/group-steps', async () => this.engine.groupSteps());
 		this.#app.get<{Params: {id: string}}>('/counts/:id', async (req, reply) => {
 			const count = this.countOf(req.params.id);
 			if (count === undefined) {
--- a/packages/standins-engine/src/engine.ts
+++ b/packages/standins-engine/src/engine.ts
@@ -230,6 +230,12 @@
 		return answer;
 	}
 
+	/** Steps of the group: completed, those in which ranks used different maps, and the maps in use by rank in the last one. */
+	groupSteps(): {readonly completed: number; readonly mixed: number; readonly last: Readonly<Record<string, number>>} {
+		const {completed, mixedSteps, steps} = this.#driver.group;
+		return {completed, mixed: mixedSteps.length, last: Object.fromEntries(steps.at(-1)?.maps ?? [])};
+	}
+
 	/** State of the rank; undefined while the engine is down. */
 	orderState(): EngineState | undefined {
 		return this.#driver.rank(this.options.rankId)?.state(this.now);
