Follow objects through outages, and test the platform client and stand-in

Change: `followObjects` lists, watches, retries with a delay, lists again on 410 and every 30 s, since a watch can miss changes. The watch test found that undici's `setEncoding` decodes each chunk alone, so a Sinhala character split over two chunks was garbled; the stream is now decoded by one TextDecoder. A pending slow call of the stand-in kept its process alive after `close`; the delay now ends with the server.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -2,6 +2,7 @@
 export {
 	PlatformClient, type CallCounts, type CallKind, type PlatformClientOptions,
 } from './client.js';
+export {followObjects, type FollowEvent, type FollowOptions} from './follow.js';
 export type {Instance} from './schemas.js';
 export type {WatchEvent} from './watch.js';
 export {TokenBucket, type BucketRate} from './token-bucket.js';
--- a/packages/platform/src/watch.ts
+++ b/packages/platform/src/watch.ts
@@ -62,9 +62,10 @@
 	}
 
 	let pending = '';
-	res.body.setEncoding('utf8');
-	for await (const text of res.body as AsyncIterable<string>) {
-		const lines = `${pending}${text}`.split('\n');
+	// A character may be split over two chunks; undici's setEncoding decodes each chunk alone.
+	const decoder = new TextDecoder();
+	for await (const bytes of res.body as AsyncIterable<Uint8Array>) {
+		const lines = `${pending}${decoder.decode(bytes, {stream: true})}`.split('\n');
 		pending = lines.pop() ?? '';
 		for (const line of lines) {
 			const event = parseLine(line);
--- a/packages/standins-platform/src/platform-server.ts
+++ b/packages/standins-platform/src/platform-server.ts
@@ -17,7 +17,6 @@
 import {ObjectTable, type WriteOutcome} from './object-table.js';
 import {RateBucket, type RateLimit} from './rate-limit.js';
 import {Watchers} from './watchers.js';
-import {UnavailableError} from '#core';
 
 /** Settings of the stand-in. */
 export type PlatformServerOptions = {
@@ -72,6 +71,7 @@
 	readonly #reads: RateBucket;
 	readonly #writes: RateBucket;
 	readonly #http: Server;
+	readonly #closed = new AbortController();
 	#faults: Faults = NO_FAULTS;
 	readonly #calls: CallCounts = {
 		read: 0, create: 0, update: 0, remove: 0, list: 0, watch: 0, listInstances: 0, rateLimited: 0, unauthorized: 0, unavailable: 0,
@@ -140,6 +140,7 @@
 
 	/** Stops listening and closes all connections. */
 	async close(): Promise<void> {
+		this.#closed.abort();
 		this.#watchers.close();
 		await new Promise<void>(resolve => {
 			this.#http.close(() => {
@@ -161,11 +162,10 @@
 			const url = new URL(req.url ?? '/', 'http://platform');
 			await (url.pathname.startsWith(API) ? this.#serve(req, res, url) : this.#control(req, res, url));
 		} catch (error) {
-			const message = error instanceof UnavailableError ? error.message : String(error);
-			if (res.headersSent) {
+			if (res.headersSent || this.#closed.signal.aborted) {
 				res.destroy();
 			} else {
-				sendJson(res, 500, {message});
+				sendJson(res, 500, {message: String(error)});
 			}
 		}
 	}
@@ -240,7 +240,7 @@
 		}
 
 		if (this.#faults.slowMs > 0) {
-			await delay(this.#faults.slowMs);
+			await delay(this.#faults.slowMs, undefined, {signal: this.#closed.signal});
 		}
 
 		const refused = this.#admit(call.kind, req.headers.authorization);
