--- a/packages/standins-platform/src/index.ts
+++ b/packages/standins-platform/src/index.ts
@@ -3,5 +3,6 @@
 export type {Faults} from './faults.js';
 export type {InstanceRecord} from './instance-list.js';
 export {
-	MemoryStore, settle, type CallFate, type WaitingCall,
+	CALL_FATES, MemoryStore, settle, type CallFate, type WaitingCall,
 } from './memory-store.js';
+export {storeSteps} from './store-steps.js';
