--- a/packages/platform/__tests__/unit/client.test.ts
+++ b/packages/platform/__tests__/unit/client.test.ts
@@ -1,3 +1,4 @@
+import {getEventListeners} from 'node:events';
 import {createServer, type AddressInfo} from 'node:net';
 import t, {type Test} from 'tap';
 import type {Result} from '#core';
@@ -88,6 +89,20 @@
 	t.equal(outcome(await client.create('b', 1)), 'unavailable none', 'connection refused');
 });
 
+await t.test('many calls that share a signal add one listener, and none after they ended', async t => {
+	const {server, client} = await start(t);
+	const controller = new AbortController();
+	const {signal} = controller;
+	await Promise.all([client.read('a', {signal}), client.read('b', {signal})]);
+	t.equal(getEventListeners(signal, 'abort').length, 0);
+	server.setFaults({slowMs: 100_000});
+	const calls = Array.from({length: 20}, async () => client.read('a', {signal}));
+	t.equal(getEventListeners(signal, 'abort').length, 1);
+	controller.abort();
+	const results = await Promise.all(calls);
+	t.same(results.map(result => outcome(result)), Array.from({length: 20}, () => 'unavailable none'), 'all are aborted');
+});
+
 await t.test('answers that are not of the platform\'s shape are not used', async t => {
 	const texts = ['HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}', 'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nnot', 'HTTP/1.1 502 Bad\r\ncontent-length: 0\r\n\r\n', 'junk\r\n\r\n'];
 	for (const text of texts) {
--- a/packages/platform/src/follow.ts
+++ b/packages/platform/src/follow.ts
@@ -4,6 +4,7 @@
  */
 import {setTimeout as delay} from 'node:timers/promises';
 import type {PlatformClient} from './client.js';
+import {linkAbort} from './link-abort.js';
 import type {WatchEvent} from './watch.js';
 import type {ObjectList, StoreFailure} from '#coordination';
 
@@ -73,21 +74,22 @@
 }
 
 async function * watchOnce(client: PlatformClient, prefix: string, {options, progress, version}: Attempt & {readonly version: string}): AsyncGenerator<FollowEvent, void, undefined> {
-	const relist = new AbortController();
+	const controller = new AbortController();
+	const unlink = linkAbort(options.signal, controller);
 	const timer = setTimeout(() => {
-		relist.abort();
+		controller.abort();
 	}, options.relistMs ?? DEFAULT_RELIST_MS);
 	try {
-		const signal = AbortSignal.any([options.signal, relist.signal]);
-		for await (const event of client.watch(prefix, version, {signal})) {
+		for await (const event of client.watch(prefix, version, {signal: controller.signal})) {
 			yield * takeEvent(event, progress);
 		}
 
-		if (relist.signal.aborted) {
+		if (controller.signal.aborted) {
 			progress.version = undefined;
 		}
 	} finally {
 		clearTimeout(timer);
+		unlink();
 	}
 }
 
--- a/packages/platform/src/transport.ts
+++ b/packages/platform/src/transport.ts
@@ -3,6 +3,7 @@
  * from failures after the request may have been received.
  */
 import {request, type Dispatcher} from 'undici';
+import {linkAbort} from './link-abort.js';
 import {UnavailableError} from '#core';
 import type {StoreFailure} from '#coordination';
 
@@ -74,14 +75,10 @@
 	}
 
 	const controller = new AbortController();
-	const abort = () => {
-		controller.abort(new UnavailableError('aborted by the caller'));
-	};
-
+	const unlink = linkAbort(outer, controller);
 	const timer = setTimeout(() => {
 		controller.abort(new UnavailableError(`no answer within ${options.timeoutMs} ms`));
 	}, options.timeoutMs);
-	outer?.addEventListener('abort', abort, {once: true});
 	try {
 		const res = await open(options, req, controller.signal);
 		const text = await res.body.text();
@@ -90,7 +87,7 @@
 		return {kind: 'failed', failure: classifyError(req.method, error)};
 	} finally {
 		clearTimeout(timer);
-		outer?.removeEventListener('abort', abort);
+		unlink();
 	}
 }
 
--- a/packages/platform/src/watch.ts
+++ b/packages/platform/src/watch.ts
@@ -1,4 +1,5 @@
 /** One watch stream of the platform as typed events. */
+import {linkAbort} from './link-abort.js';
 import {watchLineSchema} from './schemas.js';
 import {
 	classifyError, open, parseJson, withoutEffect, type TransportOptions,
@@ -27,15 +28,11 @@
 /** Opens a watch and yields its events; the last one tells why it ended, unless the signal aborted. */
 export async function * watchObjects(transport: TransportOptions, path: string, outer?: AbortSignal): AsyncGenerator<WatchEvent, void, undefined> {
 	const controller = new AbortController();
-	const abort = () => {
-		controller.abort();
-	};
-
 	if (outer?.aborted) {
 		return;
 	}
 
-	outer?.addEventListener('abort', abort, {once: true});
+	const unlink = linkAbort(outer, controller);
 	try {
 		yield * readStream(transport, path, controller);
 	} catch (error) {
@@ -43,7 +40,7 @@
 			yield {kind: 'lost', failure: classifyError('GET', error)};
 		}
 	} finally {
-		outer?.removeEventListener('abort', abort);
+		unlink();
 		controller.abort();
 	}
 }
--- a/packages/standins-platform/src/platform-server.ts
+++ b/packages/standins-platform/src/platform-server.ts
@@ -3,6 +3,7 @@
  * loopback. Development only. State is in memory and starts empty.
  */
 import {Buffer} from 'node:buffer';
+import {setMaxListeners} from 'node:events';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
@@ -80,6 +81,8 @@
 	private constructor(options: PlatformServerOptions) {
 		this.#key = options.key;
 		this.#now = options.now ?? Date.now;
+		// Every slow call listens; their number is not a leak.
+		setMaxListeners(0, this.#closed.signal);
 		this.#table = ObjectTable.create(options.historyLimit ?? 1000);
 		this.#instances = InstanceList.create(options.instanceLagMs ?? 0);
 		this.#watchers = Watchers.create(this.#table, options.bookmarkMs ?? 1000, () => this.#skipChange());
