Count a fresh engine for the quorum only when all members are accounted for

Two parts both reached an engine that had started anew, both counted it for their quorum and both re-formed, one on the old map and one on the new. The leader then waited for ever, since the map of the epoch it took for the main one was not the recorded one. Each step still used one map. Change: fresh engines count only if every member of the last epoch takes part or is fresh; an idle leader brings an epoch with another map back to the recorded one; the failing case is a test of its own. Ruled out: not counting fresh engines at all, which leaves half a group that holds a gate without a way out when the other half's engines have died.

--- a/packages/expertmap/__tests__/unit/change.fuzz.test.ts
+++ b/packages/expertmap/__tests__/unit/change.fuzz.test.ts
@@ -52,17 +52,25 @@
 
 /** Faults that strike a chosen time after a change has reached a phase. */
 const fault = fc.constantFrom('pause', 'kill', 'restart', 'isolate', 'late', 'slow', 'engine', 'loss');
-const timed = fc.tuple(phase, victim, short, wait, long, fault).map(([phase, name, after, ms, length, fault]) => command(`at ${phase} +${after} ${fault} ${name} ${length}`, ms, real => {
-	real.runUntil(phase);
-	const id = target(real, name);
-	if (fault === 'late' || fault === 'slow') {
-		real.socketDelayMs.set(id, length);
-	}
-
-	real.run(after);
-	strike(real, fault, id, length);
+const timed = fc.tuple(phase, victim, short, wait, long, fault).map(([phase, name, after, ms, length, fault]) => timedCommand({
+	phase, name, after, ms, length, fault,
 }));
 
+type Timed = {phase: MapLeader['phase']; name: string; after: number; ms: number; length: number; fault: string};
+
+function timedCommand({phase, name, after, ms, length, fault}: Timed): Action {
+	return command(`at ${phase} +${after} ${fault} ${name} ${length}`, ms, real => {
+		real.runUntil(phase);
+		const id = target(real, name);
+		if (fault === 'late' || fault === 'slow') {
+			real.socketDelayMs.set(id, length);
+		}
+
+		real.run(after);
+		strike(real, fault, id, length);
+	});
+}
+
 function strike(real: GroupSimulation, fault: string, id: string, length: number): void {
 	switch (fault) {
 		case 'pause': {
@@ -161,35 +169,53 @@
 	})),
 ];
 
+/** Runs commands, ends all faults and checks that the group settles and makes steps. */
+function runCase(count: number, seed: number, commands: Iterable<Action>): GroupSimulation {
+	const real = new GroupSimulation(count, seed);
+	real.run(2000);
+	real.proposals = 5;
+	fc.modelRun(() => ({model: {faults: 0}, real}), commands);
+	real.heal();
+	const end = real.now + SETTLE_MS;
+	while (real.now < end && !real.isSettled) {
+		real.run(500);
+	}
+
+	check(real);
+	const {completed} = real.group;
+	real.run(1000);
+	if (!real.isSettled || real.group.completed === completed) {
+		throw new Error(`not settled or no step:\n${real.describe()}`);
+	}
+
+	return real;
+}
+
 // The number of runs is set from outside, so the runner's limit applies instead of tap's default.
 t.setTimeout(0);
 
 await t.test('all ranks use one map in every step, holds are bounded and every change settles', {timeout: 0}, t => {
 	let changes = 0;
 	fc.assert(fc.property(fc.integer(MEMBERS), fc.integer(), fc.commands(actions, {maxCommands: 30}), (count, seed, commands) => {
-		const real = new GroupSimulation(count, seed);
-		real.run(2000);
-		real.proposals = 5;
-		fc.modelRun(() => ({model: {faults: 0}, real}), commands);
-		real.heal();
-		const end = real.now + SETTLE_MS;
-		while (real.now < end && !real.isSettled) {
-			real.run(500);
-		}
-
-		check(real);
-		if (!real.isSettled) {
-			throw new Error(`not settled:\n${real.describe()}`);
-		}
-
-		const {completed} = real.group;
-		real.run(1000);
-		if (real.group.completed === completed) {
-			throw new Error(`no step after settling:\n${real.describe()}`);
-		}
-
-		changes += real.record.installed.version > 1 ? 1 : 0;
+		changes += runCase(count, seed, commands).record.installed.version > 1 ? 1 : 0;
 	}), {seed: SEED, numRuns: RUNS});
 	t.ok(changes * 4 > RUNS, `changes are made in at least a quarter of the runs, in ${changes} of ${RUNS}`);
 	t.end();
 });
+
+await t.test('two parts that both reach an engine that has started anew do not both re-form (seed 32)', t => {
+	const common = {phase: 'gating' as const};
+	runCase(3, -2_147_483_578, [
+		timedCommand({
+			...common, after: 50, fault: 'isolate', name: 'leader', length: 100, ms: 590,
+		}),
+		timedCommand({
+			...common, after: 70, fault: 'pause', name: 'leader', length: 2300, ms: 1040,
+		}),
+		timedCommand({
+			...common, after: 50, fault: 'engine', name: 'c', length: 100, ms: 1060,
+		}),
+	]);
+	t.pass('the group settles');
+	t.end();
+});
--- a/packages/expertmap/src/leader-phase.ts
+++ b/packages/expertmap/src/leader-phase.ts
@@ -44,6 +44,12 @@
 	readonly step: number;
 };
 
+/** Endpoints that have to load the map in force, and the epoch they then join. */
+export type JoinPlan = {
+	readonly joiners: readonly string[];
+	readonly invitation: Invitation;
+};
+
 /** Phase of a leader. */
 export type LeaderPhase
 	/** Reads all states to find out how the last change ended. */
@@ -90,13 +96,13 @@
 
 /**
  * Plans a new epoch with the reachable endpoints outside the present one, or with all
- * endpoints if none has joined an epoch yet.
+ * endpoints if none has joined an epoch yet or the epoch does not use the installed map.
  *
  * @returns Undefined if there are none, or if a member of the present epoch cannot be reached.
  */
-export function planJoin(self: string, ids: readonly string[], states: ReadonlyMap<string, EngineState>): {readonly joiners: readonly string[]; readonly invitation: Invitation} | undefined {
+export function planJoin(self: string, ids: readonly string[], states: ReadonlyMap<string, EngineState>, installed: number): JoinPlan | undefined {
 	const main = mainEpoch(states);
-	const joiners = [...states.keys()].filter(id => states.get(id)?.epoch !== main?.epoch);
+	const joiners = [...states.keys()].filter(id => states.get(id)?.epoch !== main?.epoch || main?.mapVersion !== installed);
 	const needed = main?.members ?? ids;
 	if (joiners.length === 0 || !needed.every(id => states.has(id))) {
 		return undefined;
--- a/packages/expertmap/src/leader.ts
+++ b/packages/expertmap/src/leader.ts
@@ -326,7 +326,7 @@
 
 		const states = this.#views.answers;
 		const main = mainEpoch(states);
-		const {installed, planned} = this.#record;
+		const {planned} = this.#record;
 		const version = main === undefined ? undefined : settledVersion(main, states);
 		if (main === undefined || version === undefined) {
 			return;
@@ -336,17 +336,17 @@
 			// An engine that has left the epoch drops the version when it joins again.
 			const members = main.members.filter(id => states.get(id)?.epoch === main.epoch);
 			this.#cancel({plan: planned, epoch: main.epoch, members}, now);
-		} else if (planned !== undefined) {
-			this.#save({installed: planned}, now);
-		} else if (version === installed.version) {
+		} else if (planned === undefined) {
 			this.#phase = {kind: 'idle'};
+		} else {
+			this.#save({installed: planned}, now);
 		}
 	}
 
-	/** Lets endpoints outside the epoch load the map in force, if there are any. */
+	/** Lets endpoints outside the epoch, or all if it uses another map than the record, load the map in force. */
 	#beginJoin(now: number): void {
 		const states = this.#views.recent(now);
-		const join = planJoin(this.#options.id, this.#views.ids, states);
+		const join = planJoin(this.#options.id, this.#views.ids, states, this.#record.installed.version);
 		if (join === undefined) {
 			return;
 		}
--- a/packages/expertmap/src/reform.ts
+++ b/packages/expertmap/src/reform.ts
@@ -57,6 +57,14 @@
 		|| (present.length * 2 === base.length && lowest !== undefined && present.includes(lowest));
 }
 
+/**
+ * True if every member of `base` either takes part or has an engine that has started anew
+ * and is in no epoch. A fresh engine counts only then: two parts could both count it.
+ */
+function areAllAccountedFor(members: readonly string[], input: ReformInput): boolean {
+	return input.base.every(id => members.includes(id) || input.peers.get(id)?.epoch === 0);
+}
+
 /** The version that all states hold: one that a rank has gone to if possible, else the highest in use. */
 function commonVersion(states: readonly EngineState[]): number | undefined {
 	const versions = new Set(states.flatMap(state => [state.mapVersion, ...state.prepared]));
@@ -79,9 +87,7 @@
 	const members = [input.self, ...peers.keys()].toSorted();
 	const states = [input.state, ...peers.values()];
 	const version = commonVersion(states);
-	// A reachable engine that has started anew is in no other epoch, so it counts for the quorum.
-	const fresh = [...input.peers].filter(([, state]) => state.epoch === 0).map(([id]) => id);
-	if (version === undefined || !isQuorum([...members, ...fresh], input.base)) {
+	if (version === undefined || !(isQuorum(members, input.base) || areAllAccountedFor(members, input))) {
 		return undefined;
 	}
 
