--- a/packages/expertmap/src/leader.ts
+++ b/packages/expertmap/src/leader.ts
@@ -11,7 +11,7 @@
 	GO_LIMIT_MS, HOLD_QUERY_MS, RECONCILE_MS, RECORD_RETRY_MS, RESEND_MS,
 } from './limits.js';
 import {
-	AWAITED, consequenceOf, isTally, newTally, subjectOf, tallyMessage, tallyTimes, type Subject, type TallyPhase,
+	AWAITED, consequenceOf, isTally, newTally, receiversOf, subjectOf, tallyMessage, tallyTimes, type Subject, type TallyPhase,
 } from './leader-messages.js';
 import type {
 	LeaderEffect, LeaderOptions, ProposalRefusal, RecordOutcome,
@@ -216,16 +216,8 @@
 			}
 		} else if (now - phase.sentAt >= resendMs) {
 			this.#phase = {...phase, sentAt: now};
-			this.#sendTally(phase);
-		}
-	}
-
-	#sendTally(phase: TallyPhase): void {
-		const waiting = phase.members.filter(id => !phase.done.has(id));
-		for (const id of waiting) {
 			const message = tallyMessage(phase, this.#header(subjectOf(phase)), this.#options.id);
-			// The own engine goes last: until all others have gone, it holds the group at the gate.
-			if (phase.kind !== 'going' || id !== this.#options.id || waiting.length === 1) {
+			for (const id of receiversOf(phase, this.#options.id)) {
 				this.#send(id, message);
 			}
 		}
@@ -233,11 +225,10 @@
 
 	#onAllDone(phase: TallyPhase, now: number): void {
 		const {plan, epoch, members} = phase;
+		const round = {plan, epoch, members};
 		switch (phase.kind) {
 			case 'preparing': {
-				this.#phase = {
-					kind: 'asking', plan, epoch, members, since: now,
-				};
+				this.#phase = {...round, kind: 'asking', since: now};
 				this.#query(now);
 				break;
 			}
@@ -272,9 +263,8 @@
 	}
 
 	#cancel({plan, epoch, members}: Round, now: number): void {
-		this.#begin({
-			...newTally(now), kind: 'cancelling', plan, epoch, members,
-		}, now);
+		const round = {plan, epoch, members};
+		this.#begin({...round, ...newTally(now), kind: 'cancelling'}, now);
 	}
 
 	#onDone(from: string, message: MapMessage, now: number): void {
@@ -312,11 +302,10 @@
 			return;
 		}
 
-		const {plan, epoch, members} = phase;
-		if (message.state.epoch === epoch) {
+		if (message.state.epoch === phase.epoch) {
 			const step = message.state.step + (this.#options.marginSteps ?? 10);
 			this.#begin({
-				...newTally(now), kind: 'gating', plan, epoch, members, step,
+				...phase, ...newTally(now), kind: 'gating', step,
 			}, now);
 		} else {
 			this.#cancel(phase, now);
@@ -337,7 +326,7 @@
 
 		const states = this.#views.answers;
 		const main = mainEpoch(states);
-		const {installed, planned} = this.#record;
+		const {planned} = this.#record;
 		const version = main === undefined ? undefined : settledVersion(main, states);
 		if (main === undefined || version === undefined) {
 			return;
@@ -347,25 +336,25 @@
 			// An engine that has left the epoch drops the version when it joins again.
 			const members = main.members.filter(id => states.get(id)?.epoch === main.epoch);
 			this.#cancel({plan: planned, epoch: main.epoch, members}, now);
-		} else if (planned !== undefined) {
-			this.#save({installed: planned}, now);
-		} else if (version === installed.version) {
+		} else if (planned === undefined) {
 			this.#phase = {kind: 'idle'};
+		} else {
+			this.#save({installed: planned}, now);
 		}
 	}
 
-	/** Lets endpoints outside the epoch load the map in force, if there are any. */
+	/** Lets endpoints outside the epoch, or all if it uses another map than the record, load the map in force. */
 	#beginJoin(now: number): void {
 		const states = this.#views.recent(now);
-		const join = planJoin(this.#options.id, this.#views.ids, states);
+		const join = planJoin(this.#options.id, this.#views.ids, states, this.#record.installed.version);
 		if (join === undefined) {
 			return;
 		}
 
 		const epoch = nextEpoch([...states.values()].map(state => state.epoch), this.#options.random);
-		const {joiners: members, invitation} = join;
+		const round = {plan: this.#record.installed, epoch, members: join.joiners};
 		this.#begin({
-			...newTally(now), kind: 'joining', plan: this.#record.installed, epoch, members, invitation,
+			...round, ...newTally(now), kind: 'joining', invitation: join.invitation,
 		}, now);
 	}
 
