Quarantine: order copies of a suspect's record by version

Cause: a former home kept a copy with a permission that had long ended; when it became home again, the join revived the permission and an innocent request waited for ever. The list of ended attempts is bounded, so it could not tell. Change: each change raises the record's version; the later copy decides about the permission. Ruled out: a longer list of ended attempts, which only makes the fault rarer. Conclusion: fixed; the fuzz test now uses up to 250 commands a run.

--- a/packages/quarantine/__tests__/unit/suspects.fuzz.test.ts
+++ b/packages/quarantine/__tests__/unit/suspects.fuzz.test.ts
@@ -240,7 +240,7 @@
 
 await t.test('a bad request crashes at most three engines and an innocent one is never refused', async t => {
 	await initHashing();
-	fc.assert(fc.property(fc.commands([send, send, send, progress, progress, kill], {maxCommands: 100, size: 'max'}), commands => {
+	fc.assert(fc.property(fc.commands([send, send, send, progress, progress, kill], {maxCommands: 250, size: 'max'}), commands => {
 		const fleet = new Fleet();
 		fc.modelRun(() => ({model: {refusedInnocents: 0}, real: fleet}), commands);
 		finishAll(fleet);
--- a/packages/quarantine/src/suspect-record.ts
+++ b/packages/quarantine/src/suspect-record.ts
@@ -12,7 +12,7 @@
 
 export function newRecord(fingerprint: string, now: number): SuspectRecord {
 	return {
-		fingerprint, crashes: [], cleared: false, permit: undefined, ended: [], crashedAt: now,
+		fingerprint, version: 0, crashes: [], cleared: false, permit: undefined, ended: [], crashedAt: now,
 	};
 }
 
@@ -51,30 +51,44 @@
 
 /** Gives the permission. */
 export function withPermit(record: SuspectRecord, permit: Permit): SuspectRecord {
-	return {...record, permit};
+	return {...record, version: record.version + 1, permit};
 }
 
 /** Notes the end of an attempt, also of one whose permission is not known here. */
 export function withEnd(record: SuspectRecord, permitId: string, cleared: boolean): SuspectRecord {
 	return {
 		...record,
+		version: record.version + 1,
 		cleared,
 		permit: record.permit?.permitId === permitId ? undefined : record.permit,
 		ended: [...record.ended.filter(id => id !== permitId), permitId].slice(-MAX_KEPT_ENDED),
 	};
 }
 
-/** Joins two copies of a record. Crashes add up; a permission survives unless either copy saw its end. */
+/** The permission in force after a join: that of the later copy; of equal ones, any that neither saw end. */
+function joinedPermit(a: SuspectRecord, b: SuspectRecord, ended: readonly string[]): Permit | undefined {
+	if (a.version !== b.version) {
+		return a.version > b.version ? a.permit : b.permit;
+	}
+
+	return [a.permit, b.permit].find(permit => permit !== undefined && !ended.includes(permit.permitId));
+}
+
+/**
+ * Joins two copies of a record. Crashes add up. The rest comes from the later copy, since a former home may
+ * hold a copy that is many runs old.
+ */
 export function joined(a: SuspectRecord, b: SuspectRecord): SuspectRecord {
+	const later = a.version >= b.version ? a : b;
 	const known = new Set(a.crashes.map(({crashId}) => crashId));
 	const crashes = keptCrashes([...a.crashes, ...b.crashes.filter(({crashId}) => !known.has(crashId))]);
-	const ended = [...new Set([...a.ended, ...b.ended])].slice(-MAX_KEPT_ENDED);
-	const held = [a.permit, b.permit].find(permit => permit !== undefined && !ended.includes(permit.permitId));
+	const ended = a.version === b.version ? [...new Set([...a.ended, ...b.ended])].slice(-MAX_KEPT_ENDED) : later.ended;
 	return {
 		fingerprint: a.fingerprint,
+		version: later.version,
 		crashes,
-		cleared: a.crashes.length === b.crashes.length ? a.cleared || b.cleared : (a.crashes.length > b.crashes.length ? a : b).cleared,
-		permit: held,
+		cleared: later.cleared && crashes.length === later.crashes.length,
+		permit: joinedPermit(a, b, ended),
 		ended,
 		crashedAt: Math.max(a.crashedAt, b.crashedAt),
 	};
--- a/packages/quarantine/src/types.ts
+++ b/packages/quarantine/src/types.ts
@@ -44,6 +44,8 @@
 /** What is known about a fingerprint; an immutable value that homes send to their successors. */
 export type SuspectRecord = {
 	readonly fingerprint: string;
+	/** Increases with each change; the later of two copies decides about the permission. */
+	readonly version: number;
 	/** Distinct crashes. */
 	readonly crashes: readonly Crash[];
 	/** True if it finished without a crash after its only crash; it then runs without permission. */
