--- a/packages/limits/src/fair-queue.ts
+++ b/packages/limits/src/fair-queue.ts
@@ -14,7 +14,10 @@
 	readonly priority: number;
 	/** Size of the work, tokens. */
 	readonly tokens: number;
-	/** When the first byte is due, milliseconds. */
+	/**
+	 * When it must start at the latest, milliseconds: the time the first byte is due, less the time from
+	 * start to first byte. With the due time itself an overloaded endpoint starts work that comes too late.
+	 */
 	readonly deadline: number;
 };
 
