Limits: count every rate that an entry may use; idle entries give up their share

Cause: an oracle over the rates in force (sum at every tick) found that the home under-counted: an entry whose new grants were lost kept an older one that the home had dropped after 5 s, and a silent entry could use limit / known entries while a smaller grant was counted. Change: a grant counts in full for 5 s and as the fallback from then on until the entry reports a later one; the rise to the fallback waits 15 s; an idle entry reports zero and gives up its grant at once, so that its share returns without a wait.

--- a/packages/limits/src/grant-holder.ts
+++ b/packages/limits/src/grant-holder.ts
@@ -173,8 +173,8 @@
 		const demands: Demand[] = [];
 		for (const [workspace, bucket] of this.#buckets) {
 			const rule = this.#rules.get(workspace);
-			if (rule !== undefined && this.#isActive(bucket, rule, now)) {
-				demands.push(this.#report(workspace, bucket, now));
+			if (rule !== undefined && this.#isActive(bucket, now)) {
+				demands.push(now - bucket.lastUseAt < IDLE_AFTER_MS ? this.#report(workspace, bucket, now) : this.#release(workspace, bucket, rule, now));
 			}
 		}
 
@@ -229,25 +229,34 @@
 		bucket.levelAt = Math.max(bucket.levelAt, now);
 	}
 
-	/** Whether demand is reported. A workspace that fell idle gives up its grant. */
-	#isActive(bucket: Bucket, rule: WorkspaceRule, now: number): boolean {
-		if (now - bucket.lastUseAt < IDLE_AFTER_MS + RELEASE_MS) {
-			return true;
-		}
+	/** Whether demand is reported; an idle workspace reports zero a few times and then nothing. */
+	#isActive(bucket: Bucket, now: number): boolean {
+		return now - bucket.lastUseAt < IDLE_AFTER_MS + RELEASE_MS;
+	}
 
+	/** Gives up the grant of an idle workspace, and any that is under way. */
+	#giveUp(bucket: Bucket, rule: WorkspaceRule, now: number): void {
 		this.#fill(bucket, rule, now);
 		bucket.held = undefined;
 		bucket.unansweredSince = undefined;
 		bucket.pending = [];
 		bucket.demand = 0;
-		return false;
+		bucket.asked = 0;
+		bucket.demandAt = now;
+	}
+
+	#release(workspace: string, bucket: Bucket, rule: WorkspaceRule, now: number): Demand {
+		this.#giveUp(bucket, rule, now);
+		this.#sequence++;
+		return {
+			workspace, entryId: this.#entryId, sequence: this.#sequence, tokensPerSecond: 0, heldTokensPerSecond: 0, heldSequence: 0,
+		};
 	}
 
 	#report(workspace: string, bucket: Bucket, now: number): Demand {
 		const elapsedMs = Math.max(1, now - bucket.demandAt);
-		const idle = now - bucket.lastUseAt >= IDLE_AFTER_MS;
 		const latest = bucket.asked * 1000 / Math.max(1000, elapsedMs);
-		bucket.demand = idle ? 0 : Math.max(latest, bucket.demand + (DEMAND_WEIGHT * (latest - bucket.demand)));
+		bucket.demand = Math.max(latest, bucket.demand + (DEMAND_WEIGHT * (latest - bucket.demand)));
 		bucket.asked = 0;
 		bucket.demandAt = now;
 		this.#sequence++;
@@ -258,7 +267,7 @@
 			entryId: this.#entryId,
 			sequence: this.#sequence,
 			tokensPerSecond: bucket.demand,
-			heldTokensPerSecond: bucket.held?.tokensPerSecond ?? 0,
+			heldTokensPerSecond: this.rate(workspace, now),
 			heldSequence: bucket.held?.sequence ?? 0,
 		};
 	}
--- a/packages/limits/src/grant-home.ts
+++ b/packages/limits/src/grant-home.ts
@@ -7,6 +7,8 @@
 	GRANT_DECAY_END_MS, type Demand, type Grant, type WorkspaceRule,
 } from './types.js';
 
+/** An entry that gave up its share is remembered for this time, so that a late report of it is recognised. */
+const RELEASED_AFTER_MS = 10_000;
 /** The fair level is computed at most this often for a workspace. */
 const LEVEL_INTERVAL_MS = 200;
 
@@ -17,6 +19,8 @@
 	readonly issued: readonly Issued[];
 	readonly demand: number;
 	readonly sequence: number;
+	/** Sequence of the grant that the entry reported as in use; 0 for none. */
+	readonly heldSequence: number;
 	readonly heardAt: number;
 };
 
@@ -29,9 +33,28 @@
 	levelAt: number;
 };
 
-/** Highest rate that the entry may be using under grants of this home. */
-function outstanding(state: EntryState, now: number): number {
-	return Math.max(0, ...state.issued.filter(({at}) => now - at < GRANT_DECAY_END_MS).map(({tokensPerSecond}) => tokensPerSecond));
+/** Whether the entry gave up its share: it reported no demand, holds no grant and drops those under way. */
+function isReleased({demand, heldSequence, issued}: EntryState): boolean {
+	return demand === 0 && heldSequence === 0 && issued.length === 0;
+}
+
+/**
+ * Highest rate that the entry may be using: a grant counts in full until it has decayed, and from then
+ * on as the fallback to which a silent entry may rise. An entry without a grant may do so at any time.
+ */
+function outstanding(state: EntryState, fallback: number, now: number): number {
+	if (isReleased(state)) {
+		return 0;
+	}
+
+	const rates = state.issued.map(({tokensPerSecond, at}) => now - at < GRANT_DECAY_END_MS ? tokensPerSecond : fallback);
+	return Math.max(state.heldSequence === 0 ? fallback : 0, ...rates);
+}
+
+/** Of the grants that have decayed one is enough, since all count the same. */
+function pruned(issued: readonly Issued[], now: number): readonly Issued[] {
+	const firstLive = issued.findIndex(({at}) => now - at < GRANT_DECAY_END_MS);
+	return firstLive === -1 ? issued.slice(-1) : issued.slice(Math.max(0, firstLive - 1));
 }
 
 /** The level at which demands are cut so that their sum meets the limit; infinite when they all fit. */
@@ -91,7 +114,7 @@
 	/**
 	 * Answers a demand report.
 	 *
-	 * @returns The grant to send back, or undefined for a late report or a workspace without a limit.
+	 * @returns The grant to send back, or undefined for a late report, one that gives up a share, or a workspace without a limit.
 	 */
 	onDemand(demand: Demand, now: number): Grant | undefined {
 		const rule = this.#rules.get(demand.workspace);
@@ -108,6 +131,10 @@
 		const state = this.#heard(prev, demand, now);
 		workspace.entries.set(demand.entryId, state);
 		this.#dropLapsed(workspace, now);
+		if (isReleased(state)) {
+			return undefined;
+		}
+
 		const tokensPerSecond = this.#rateFor(demand, workspace, rule, now);
 		const issued = [...state.issued, {sequence: demand.sequence, tokensPerSecond, at: now}];
 		workspace.entries.set(demand.entryId, {...state, issued});
@@ -139,37 +166,40 @@
 
 	/** Takes over what the entry holds; grants older than the one it holds cannot come into use any more. */
 	#heard(prev: EntryState | undefined, demand: Demand, now: number): EntryState {
-		const issued = (prev?.issued ?? []).filter(({sequence, at}) => sequence >= demand.heldSequence && now - at < GRANT_DECAY_END_MS);
+		const gaveUp = demand.tokensPerSecond === 0 && demand.heldSequence === 0;
+		const issued = gaveUp ? [] : (prev?.issued ?? []).filter(({sequence}) => sequence >= demand.heldSequence);
 		const held = demand.heldTokensPerSecond > 0 && !issued.some(({sequence}) => sequence === demand.heldSequence)
 			? [{sequence: demand.heldSequence, tokensPerSecond: demand.heldTokensPerSecond, at: now}]
 			: [];
 		return {
-			issued: [...held, ...issued], demand: demand.tokensPerSecond, sequence: demand.sequence, heardAt: now,
+			issued: pruned([...held, ...issued], now),
+			demand: demand.tokensPerSecond,
+			sequence: demand.sequence,
+			heldSequence: demand.heldSequence,
+			heardAt: now,
 		};
 	}
 
-	/** Forgets entries that have released their share, or that are gone and whose grants have run out. */
+	/** Forgets entries that gave up their share and fell silent, or that are gone and whose grants have run out. */
 	#dropLapsed(workspace: WorkspaceState, now: number): void {
 		for (const [id, state] of workspace.entries) {
-			const silent = now - state.heardAt >= GRANT_DECAY_END_MS;
-			const released = state.demand === 0 && outstanding(state, now) === 0;
-			if (silent && (released || !this.#known.has(id))) {
+			const silentMs = now - state.heardAt;
+			const released = isReleased(state) && silentMs >= RELEASED_AFTER_MS;
+			const gone = !this.#known.has(id) && silentMs >= GRANT_DECAY_END_MS;
+			if (released || gone) {
 				workspace.entries.delete(id);
 			}
 		}
 	}
 
-	/** What another entry may be using: its grants, or the fallback once it has been silent. */
-	#reserved(state: EntryState, rule: WorkspaceRule, now: number): number {
-		const fallback = rule.tokensPerSecond / Math.max(1, this.#known.size);
-		const silent = now - state.heardAt >= GRANT_DECAY_END_MS;
-		return silent ? fallback : outstanding(state, now);
+	#fallback(rule: WorkspaceRule): number {
+		return rule.tokensPerSecond / Math.max(1, this.#known.size);
 	}
 
 	#rateFor(demand: Demand, workspace: WorkspaceState, rule: WorkspaceRule, now: number): number {
 		let others = 0;
 		for (const [id, state] of workspace.entries) {
-			others += id === demand.entryId ? 0 : this.#reserved(state, rule, now);
+			others += id === demand.entryId ? 0 : outstanding(state, this.#fallback(rule), now);
 		}
 
 		const available = Math.max(0, rule.tokensPerSecond - others);
@@ -189,8 +219,12 @@
 		const demands: number[] = [];
 		let silent = 0;
 		for (const state of workspace.entries.values()) {
+			if (isReleased(state)) {
+				continue;
+			}
+
 			if (now - state.heardAt >= GRANT_DECAY_END_MS) {
-				silent += this.#reserved(state, rule, now);
+				silent += outstanding(state, this.#fallback(rule), now);
 			} else {
 				demands.push(state.demand);
 			}
--- a/packages/limits/src/types.ts
+++ b/packages/limits/src/types.ts
@@ -18,7 +18,7 @@
 	readonly sequence: number;
 	/** Rate that its callers ask for, refused work included. */
 	readonly tokensPerSecond: number;
-	/** Rate in use and the sequence of the demand that it answered; 0 and 0 without a grant. */
+	/** Rate in use, and the sequence of the demand that its grant answered; 0 without a grant. */
 	readonly heldTokensPerSecond: number;
 	readonly heldSequence: number;
 };
@@ -36,9 +36,10 @@
 /** From then the rate falls in a straight line and reaches the fallback `limit / known entries` here. */
 export const GRANT_DECAY_END_MS = 5000;
 /**
- * A rate below the fallback rises to it only after this silence: by then the home has counted the
- * fallback of the silent entry for `GRANT_DECAY_END_MS` and every larger grant has run out.
+ * A rate below the fallback rises to it only after this silence. The home counts the fallback of a silent
+ * entry from `GRANT_DECAY_END_MS` on, larger grants of others have run out as long after that, and the rest
+ * covers a report that was up to 5 s under way.
  */
-export const FALLBACK_RISE_MS = 10_000;
+export const FALLBACK_RISE_MS = 15_000;
 /** A bucket holds at most this long of its rate. */
 export const BURST_MS = 2000;
--- a/packages/quarantine/__tests__/unit/quarantine.test.ts
+++ b/packages/quarantine/__tests__/unit/quarantine.test.ts
@@ -65,6 +65,21 @@
 	t.end();
 });
 
+await t.test('a copy that is many runs old does not revive its permission', t => {
+	const home = registryWith([mixed('1'), mixed('2')]);
+	const ask = (permitId: string) => home.ask({fingerprint: 'f', permitId, entryId: 'e'}, 1);
+	const old = ask('old').changed;
+	home.end({fingerprint: 'f', permitId: 'old', how: 'finished'}, 1);
+	for (let run = 0; run < 20; run++) {
+		ask(`${run}`);
+		home.end({fingerprint: 'f', permitId: `${run}`, how: 'finished'}, 1);
+	}
+
+	home.merge(old === undefined ? [] : [old], 2);
+	t.equal(ask('next').permission.kind, 'run-alone');
+	t.end();
+});
+
 await t.test('the registry stays within its bound and keeps suspects with two crashes longest', t => {
 	const registry = SuspectRegistry.create(10);
 	registry.reportCrash({crashId: 'x', alone: false, batch: [{fingerprint: 'twice', permitId: 'x'}]}, here, 0);
