Routing: weigh the batch of a replica more

Cause: with a small weight on running requests the homes kept a skew of 1.71. Change: a batch twice the mean costs 8,000 ms instead of 2,000.

--- a/packages/routing/src/cost.ts
+++ b/packages/routing/src/cost.ts
@@ -18,7 +18,7 @@
 /** The running batch turns over in about 25 s, so its size is believed for longer than the queue. */
 const RUNNING_MEMORY_MS = 20_000;
 /** Cost of running as many requests again as the mean of the fleet; a larger one moves conversations off their home and costs cache hits. */
-const BALANCE_MS = 2000;
+const BALANCE_MS = 8000;
 /**
  * A prompt placed away from its home will be computed again when the conversation returns there, and
  * each computed token delays every request queued behind it. Without this weight a busy fleet gives up
