--- a/packages/routing/src/bucket-map.ts
+++ b/packages/routing/src/bucket-map.ts
@@ -1,6 +1,6 @@
 /** An immutable map that copies one bucket per change instead of the whole map. */
 
-const BUCKETS = 64;
+const BUCKETS = 256;
 
 /** Prime, so that the running remainder stays an exact integer and spreads evenly. */
 const HASH_PRIME = 1_000_003;
@@ -14,7 +14,7 @@
 	return hash % BUCKETS;
 }
 
-/** At 1,600 entries a change copies 64 references and about 25 entries. */
+/** At 1,600 entries a change copies 256 references and about 6 entries. */
 export class BucketMap<Value> {
 	static create<Value>(): BucketMap<Value> {
 		return new BucketMap(Array.from({length: BUCKETS}, () => new Map<string, Value>()), 0);
--- a/packages/routing/src/choose.ts
+++ b/packages/routing/src/choose.ts
@@ -22,6 +22,8 @@
 const HOME_QUEUE_BOUND = 3;
 /** A queue shorter than about the 1.2 s target plus the time saved by the cache is no reason to leave a home. */
 const HOME_FREE_WAIT_MS = 1500;
+/** Leading homes whose state is looked at before the whole order is, which costs a sort of the region. */
+const HOMES_CHECKED = 8;
 /** Hints considered for one request. */
 const MAX_HINTS = 3;
 /** Replicas of other regions are considered once the best wait in the own region exceeds this. */
@@ -133,12 +135,23 @@
 		return undefined;
 	}
 
-	const ready = table.servingFor(request.model).all.filter(id => {
-		const replica = table.get(id);
-		return replica?.region === request.region && stateOf(replica, context) === 'ready';
-	});
-	const homes = rendezvous(key, ready, MAX_HOMES).map(id => table.get(id));
-	return homes.find(home => home !== undefined && !isOverloaded(home, context));
+	const near = table.servingFor(request.model).byRegion.get(request.region) ?? [];
+	const leading = readyHomes(rendezvous(key, near, HOMES_CHECKED), context);
+	const ready = leading.length > 0 ? leading : readyHomes(rendezvous(key, near, near.length), context);
+	return ready.find(home => !isOverloaded(home, context));
+}
+
+/** The leading replicas of the order that are ready, at most `MAX_HOMES`. */
+function readyHomes(order: readonly string[], context: Context): readonly Replica[] {
+	const ready: Replica[] = [];
+	for (const id of order) {
+		const replica = context.table.get(id);
+		if (replica !== undefined && ready.length < MAX_HOMES && stateOf(replica, context) === 'ready') {
+			ready.push(replica);
+		}
+	}
+
+	return ready;
 }
 
 function hinted(context: Context): readonly Replica[] {
--- a/packages/routing/src/table.ts
+++ b/packages/routing/src/table.ts
@@ -47,6 +47,7 @@
 	readonly all: readonly string[];
 	/** Those whose reports this entry subscribes to. */
 	readonly subscribed: readonly string[];
+	readonly byRegion: ReadonlyMap<string, readonly string[]>;
 };
 
 function initialReplica(entry: InstanceEntry, now: number): Replica {
@@ -143,7 +144,11 @@
 
 		const lists = [...this.#parts.idsByModel].filter(([offered]) => servesModel(offered, wanted)).map(([, ids]) => ids);
 		const all = [...new Set(lists.flat())].toSorted();
-		const serving = {all, subscribed: all.filter(id => this.get(id)?.subscribed)};
+		const serving = {
+			all,
+			subscribed: all.filter(id => this.get(id)?.subscribed),
+			byRegion: this.#byRegion(all),
+		};
 		// Callers can ask for any name, so only names that some replica serves are kept.
 		if (all.length > 0) {
 			this.#parts.serving.set(wanted, serving);
@@ -243,6 +248,18 @@
 		return new RoutingTable({...this.#parts, replicas, serving: new Map()});
 	}
 
+	#byRegion(ids: readonly string[]): ReadonlyMap<string, readonly string[]> {
+		const groups = new Map<string, string[]>();
+		for (const id of ids) {
+			const region = this.get(id)?.region ?? '';
+			const group = groups.get(region) ?? [];
+			group.push(id);
+			groups.set(region, group);
+		}
+
+		return groups;
+	}
+
 	#change(id: string, change: Change): RoutingTable {
 		const replica = this.#parts.replicas.get(id);
 		return replica === undefined ? this : this.#withReplicas(this.#parts.replicas.with(id, change(replica)));
