Quarantine: bounded set of known suspects for entries

Cause: asking the home before every request would cost an entry about 5 KB/s, its whole budget. Change: KnownSuspects holds the fingerprints of crashed batches for an hour; only these ask. Ruled out: asking always; see above (27 requests/s, two messages of about 90 bytes each).

--- a/packages/quarantine/__tests__/unit/quarantine.test.ts
+++ b/packages/quarantine/__tests__/unit/quarantine.test.ts
@@ -1,7 +1,7 @@
 import t from 'tap';
 import {initHashing} from '#routing';
 import {
-	EndpointGate, fingerprintOf, homesOf, RETENTION_MS, SuspectRegistry, type RunMode,
+	EndpointGate, fingerprintOf, homesOf, KnownSuspects, RETENTION_MS, SuspectRegistry, type RunMode,
 } from '#quarantine';
 
 await initHashing();
@@ -140,3 +140,15 @@
 	t.equal(homesOf('f', ['a', 'b', 'c', 'd'].filter(id => id !== home))[0], successor);
 	t.end();
 });
+
+await t.test('an entry remembers suspects for an hour and drops the oldest at its bound', t => {
+	const known = KnownSuspects.create(2);
+	known.add(['a', 'b'], 0);
+	known.add(['a', 'c'], 10);
+	t.same(known.list(10), ['a', 'c']);
+	t.equal(known.needsPermission('a', RETENTION_MS + 9), true, 'a later crash renews the hour');
+	t.equal(known.needsPermission('a', RETENTION_MS + 10), false);
+	known.add(['d'], RETENTION_MS + 10);
+	t.equal(known.size, 1);
+	t.end();
+});
--- a/packages/quarantine/src/index.ts
+++ b/packages/quarantine/src/index.ts
@@ -3,6 +3,7 @@
 	EndpointGate, type CrashedBatch, type GateOutcome, type RunMode,
 } from './endpoint-gate.js';
 export {fingerprintOf} from './fingerprint.js';
+export {KnownSuspects} from './known-suspects.js';
 export {ALONE_FROM_CRASHES, MAX_CRASHES} from './suspect-record.js';
 export {
 	homesOf, RETENTION_MS, SuspectRegistry, type Answer,
