--- a/packages/quarantine/__tests__/unit/quarantine.test.ts
+++ b/packages/quarantine/__tests__/unit/quarantine.test.ts
@@ -1,7 +1,7 @@
 import t from 'tap';
 import {initHashing} from '#routing';
 import {
-	EndpointGate, fingerprintOf, homesOf, RETENTION_MS, SuspectRegistry, type RunMode,
+	EndpointGate, fingerprintOf, homesOf, KnownSuspects, RETENTION_MS, SuspectRegistry, type RunMode,
 } from '#quarantine';
 
 await initHashing();
@@ -65,6 +65,21 @@
 	t.end();
 });
 
+await t.test('a copy that is many runs old does not revive its permission', t => {
+	const home = registryWith([mixed('1'), mixed('2')]);
+	const ask = (permitId: string) => home.ask({fingerprint: 'f', permitId, entryId: 'e'}, 1);
+	const old = ask('old').changed;
+	home.end({fingerprint: 'f', permitId: 'old', how: 'finished'}, 1);
+	for (let run = 0; run < 20; run++) {
+		ask(`${run}`);
+		home.end({fingerprint: 'f', permitId: `${run}`, how: 'finished'}, 1);
+	}
+
+	home.merge(old === undefined ? [] : [old], 2);
+	t.equal(ask('next').permission.kind, 'run-alone');
+	t.end();
+});
+
 await t.test('the registry stays within its bound and keeps suspects with two crashes longest', t => {
 	const registry = SuspectRegistry.create(10);
 	registry.reportCrash({crashId: 'x', alone: false, batch: [{fingerprint: 'twice', permitId: 'x'}]}, here, 0);
@@ -125,3 +140,15 @@
 	t.equal(homesOf('f', ['a', 'b', 'c', 'd'].filter(id => id !== home))[0], successor);
 	t.end();
 });
+
+await t.test('an entry remembers suspects for an hour and drops the oldest at its bound', t => {
+	const known = KnownSuspects.create(2);
+	known.add(['a', 'b'], 0);
+	known.add(['a', 'c'], 10);
+	t.same(known.list(10), ['a', 'c']);
+	t.equal(known.needsPermission('a', RETENTION_MS + 9), true, 'a later crash renews the hour');
+	t.equal(known.needsPermission('a', RETENTION_MS + 10), false);
+	known.add(['d'], RETENTION_MS + 10);
+	t.equal(known.size, 1);
+	t.end();
+});
