--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -1,6 +1,7 @@
 /** Daemons and stand-ins of a measurement as separate processes, and their use of processor and memory. */
 import {readFileSync} from 'node:fs';
 import {request} from 'undici';
+import {UnavailableError} from '#core';
 import {keyHash, TestFleet, waitUntil} from '#harness';
 
 const KEY = 'key-of-the-bench-workspace';
@@ -58,7 +59,7 @@
 		} catch (error) {
 			const output = fleet.children.map(child => `--- ${child.name}\n${child.output.slice(-10).join('\n')}`).join('\n');
 			await fleet.destroy();
-			throw new Error(`the fleet did not start\n${output}`, {cause: error});
+			throw new UnavailableError(`the fleet did not start\n${output}`, {cause: error});
 		}
 	}
 
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -7,4 +7,5 @@
 export {
 	BENCH_PARTS, formatMachine, formatResult, readMachine, selectParts, writeResult, type MachineInfo,
 } from './registry.js';
+export {skewPart} from './skew-part.js';
 export {throughputPart} from './throughput.js';
--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -5,12 +5,13 @@
 import process from 'node:process';
 import type {BenchPart, BenchResult} from './part.js';
 import {passingPart} from './passing.js';
+import {skewPart} from './skew-part.js';
 import {throughputPart} from './throughput.js';
 import {renderChart, renderMarkdownTable, renderTextTable} from '#reports';
 import {InputError} from '#core';
 
 /** All parts in the order in which they run. */
-export const BENCH_PARTS: readonly BenchPart[] = [passingPart, throughputPart];
+export const BENCH_PARTS: readonly BenchPart[] = [passingPart, throughputPart, skewPart];
 
 /** Machine and time of a measurement. */
 export type MachineInfo = {
--- a/packages/load/__tests__/unit/load.test.ts
+++ b/packages/load/__tests__/unit/load.test.ts
@@ -36,6 +36,8 @@
 		{name: 'cut off', received: bytes.subarray(0, -1), expected: {outcome: 'incomplete'}},
 		{name: 'empty', received: Buffer.alloc(0), expected: {outcome: 'incomplete'}},
 		{name: 'error event', received: Buffer.concat([bytes.subarray(0, secondFrame), event]), expected: {outcome: 'stream-error', code: 'stream-lost'}},
+		{name: 'error event after a blank line inside an event', received: Buffer.concat([bytes.subarray(0, 30), Buffer.from('\n\n'), event]), expected: {outcome: 'stream-error'}},
+		{name: 'error event after a wrong byte', received: Buffer.concat([bytes.subarray(0, 30), Buffer.from('x\n\n'), event]), expected: {outcome: 'wrong'}},
 		{name: 'error event after foreign bytes', received: Buffer.concat([Buffer.from('data: x\n\n'), event]), expected: {outcome: 'wrong'}},
 		{name: 'answer to another request', received: expectedBytes('chat', item.body, 'other'), expected: {outcome: 'wrong'}},
 		{name: 'too long', received: Buffer.concat([bytes, bytes]), expected: {outcome: 'wrong'}},
--- a/packages/load/src/item-result.ts
+++ b/packages/load/src/item-result.ts
@@ -51,14 +51,22 @@
 		return {outcome: 'incomplete', code: '', ran: ''};
 	}
 
-	const lastFrame = got.toString().trimEnd().split('\n\n').at(-1) ?? '';
-	const code = lastFrame.includes('"error"') ? errorCode.exec(lastFrame)?.[1] : undefined;
-	const before = got.lastIndexOf(lastFrame);
-	if (code !== undefined && expected.subarray(0, before).equals(got.subarray(0, before))) {
-		return {outcome: 'stream-error', code, ran: ''};
-	}
+	const code = readErrorEvent(got, expected);
+	return code === undefined ? {outcome: 'wrong', code: '', ran: ''} : {outcome: 'stream-error', code, ran: ''};
+}
 
-	return {outcome: 'wrong', code: '', ran: ''};
+/**
+ * The error code of a stream that ends with an error event after correct bytes; undefined for any
+ * other stream. A stream may break off inside an event, so a blank line may come before the event.
+ */
+function readErrorEvent(received: Uint8Array, answer: Uint8Array): string | undefined {
+	const [got, expected] = [Buffer.from(received), Buffer.from(answer)];
+	const at = got.lastIndexOf('data: {"error"');
+	const delivered = got.subarray(0, Math.max(0, at));
+	const isPrefix = (bytes: Uint8Array): boolean => expected.subarray(0, bytes.length).equals(bytes);
+	const isBlank = delivered.subarray(-2).toString() === '\n\n';
+	const isCorrect = isPrefix(delivered) || (isBlank && isPrefix(delivered.subarray(0, -2)));
+	return at === -1 || !isCorrect ? undefined : errorCode.exec(got.subarray(at).toString())?.[1];
 }
 
 /** Judges the body of a 2xx answer to a booking: it has to name the key of this call. */
