Free the answers of finished runs in the stand-in engine

Cause: the oracle remembers 20,000 requests; with 417 tokens each they would hold up to 2 GB. A second crash before the restart would have added the rank twice. Change: a run that is no longer held keeps its length and hash and makes its bytes anew when they are asked for; a crash cancels a restart that is pending. Ruled out: remembering fewer requests, since tests compare all of them.

--- a/packages/standins-engine/__tests__/unit/engine-server.test.ts
+++ b/packages/standins-engine/__tests__/unit/engine-server.test.ts
@@ -166,3 +166,23 @@
 	server.inject({stallMs: 0});
 	t.match(await answer, {status: 200});
 });
+
+await t.test('the oracle still knows the exact bytes of a run that can no longer be resumed', async t => {
+	const server = await startEngine(t, {holdMs: 0});
+	await post(server, '/v1/chat/completions', body);
+	const before = server.countOf('r1');
+	await post(server, '/v1/cancel/r1', {});
+	t.equal(await statusOf(server, '/v1/resume/r1', {offset: 0}), 404);
+	t.same(server.countOf('r1'), before);
+	t.ok(Buffer.from(server.bytesOf('r1') ?? []).equals(expectedBytes('chat', body, 'r1')));
+});
+
+await t.test('an engine that crashes again before its restart restarts once', async t => {
+	const server = await startEngine(t);
+	server.inject({restartMs: 5});
+	server.engine.crash();
+	server.engine.crash();
+	await until(() => server.engine.orderState() !== undefined && !server.engine.down);
+	t.equal(await statusOf(server, '/v1/chat/completions', body), 200);
+	t.equal(server.counts().crashes, 2);
+});
--- a/packages/standins-engine/src/engine-server.ts
+++ b/packages/standins-engine/src/engine-server.ts
@@ -284,7 +284,7 @@
 			raw.writeHead(200, {
 				'content-type': run.answer.contentType,
 				'cache-control': 'no-cache',
-				'x-request-id': run.answer.requestId,
+				'x-request-id': run.requestId,
 				'x-cached-tokens': String(run.cachedTokens),
 			});
 		}
--- a/packages/standins-engine/src/engine.ts
+++ b/packages/standins-engine/src/engine.ts
@@ -166,6 +166,7 @@
 			request, answer: createAnswer(request, requestId), priority, sequence: this.#sequence++,
 		});
 		this.oracle.recordRun(run);
+		this.#held.get(requestId)?.release();
 		this.#held.set(requestId, run);
 		this.#batch.add(run);
 		this.#driver.wake();
@@ -197,11 +198,12 @@
 
 	/** Ends the run of a request; false if none goes on. */
 	cancel(requestId: string): boolean {
-		const live = [...this.#batch.running, ...this.#batch.queued].filter(run => run.answer.requestId === requestId && !run.finished);
+		const live = [...this.#batch.running, ...this.#batch.queued].filter(run => run.requestId === requestId && !run.finished);
 		for (const run of live) {
 			run.finish('cancelled');
 		}
 
+		this.#held.get(requestId)?.release();
 		this.#held.delete(requestId);
 		this.oracle.cancels += live.length;
 		return live.length > 0;
@@ -240,7 +242,9 @@
 		this.oracle.crashes++;
 		this.#downUntil = this.now + this.#faults.restartMs;
 		this.#cache.clear();
+		const held = [...this.#held.values()];
 		this.#held.clear();
+		clearTimeout(this.#restart);
 		this.#driver.leave(this.options.rankId);
 		this.#restart = setTimeout(() => {
 			this.#joinGroup(false);
@@ -250,6 +254,10 @@
 		for (const run of lost) {
 			run.finish('lost');
 		}
+
+		for (const run of held) {
+			run.release();
+		}
 	}
 
 	/** Stops the timers. */
@@ -355,6 +363,7 @@
 			if (since !== undefined && now - since > this.options.holdMs) {
 				this.#held.delete(id);
 				run.finish('cancelled');
+				run.release();
 			}
 		}
 	}
--- a/packages/standins-engine/src/oracle.ts
+++ b/packages/standins-engine/src/oracle.ts
@@ -1,5 +1,4 @@
 /** What the engine ran, how often, and the exact bytes it made: tests compare against it. */
-import {Buffer} from 'node:buffer';
 import {hashBytes} from './hash.js';
 import type {Run, RunState} from './run.js';
 
@@ -48,7 +47,7 @@
 	}
 
 	recordRun(run: Run): void {
-		const {requestId} = run.answer;
+		const {requestId} = run;
 		this.#requests++;
 		this.#runs.set(requestId, [...this.#runs.get(requestId) ?? [], run]);
 		if (this.#runs.size > KEPT_IDS) {
@@ -69,12 +68,10 @@
 			return undefined;
 		}
 
-		const bytes = this.bytesOf(requestId) ?? Buffer.alloc(0);
 		return {
 			runs: runs.length,
 			tokens: runs.reduce((sum, run) => sum + run.tokens, 0),
-			bytes: bytes.length,
-			hash: hashBytes(bytes),
+			...(runs.at(-1)?.digest() ?? {bytes: 0, hash: hashBytes(new Uint8Array())}),
 			states: runs.map(run => run.state),
 		};
 	}
--- a/packages/standins-engine/src/run.ts
+++ b/packages/standins-engine/src/run.ts
@@ -1,6 +1,7 @@
 /** One run of one request: its progress, the bytes made so far and who reads them. */
 import {Buffer} from 'node:buffer';
-import type {Answer} from './answer.js';
+import {createAnswer, type Answer} from './answer.js';
+import {hashBytes} from './hash.js';
 import type {InferenceRequest} from './inference-request.js';
 
 /** Receives the bytes of a run. */
@@ -16,6 +17,9 @@
 /** `lost` after a crash. */
 export type RunState = 'queued' | 'running' | 'done' | 'cancelled' | 'lost';
 
+/** Length and xxhash64 (16 hex digits) of the bytes that a run made. */
+export type RunDigest = {readonly bytes: number; readonly hash: string};
+
 export class Run {
 	static create(options: {
 		readonly request: InferenceRequest; readonly answer: Answer; readonly priority: number; readonly sequence: number;
@@ -36,19 +40,29 @@
 	unreadSince: number | undefined;
 	/** When the run ended, in milliseconds. */
 	finishedAt: number | undefined;
+	readonly requestId: string;
+	#answer: Answer | undefined;
+	#digest: RunDigest | undefined;
 	readonly #readers = new Set<RunReader>();
 
 	private constructor(
 		readonly request: InferenceRequest,
-		readonly answer: Answer,
+		answer: Answer,
 		/** A higher number runs first. */
 		readonly priority: number,
 		/** Order of arrival. */
 		readonly sequence: number,
 	) {
+		this.#answer = answer;
+		this.requestId = answer.requestId;
 		this.prefillLeft = answer.promptTokens;
 	}
 
+	/** The complete answer; made anew after `release`. */
+	get answer(): Answer {
+		return this.#answer ?? createAnswer(this.request, this.requestId);
+	}
+
 	get finished(): boolean {
 		return this.state === 'done' || this.state === 'cancelled' || this.state === 'lost';
 	}
@@ -62,6 +76,24 @@
 		return Buffer.concat(this.answer.pieces.slice(0, this.tokens));
 	}
 
+	/** Length and xxhash64 of the bytes made so far. */
+	digest(): RunDigest {
+		if (this.#digest !== undefined) {
+			return this.#digest;
+		}
+
+		const bytes = this.bytes();
+		return {bytes: bytes.length, hash: hashBytes(bytes)};
+	}
+
+	/** Frees the bytes of a finished run: an oracle remembers many runs, and long answers have some 100 KB each. */
+	release(): void {
+		if (this.finished) {
+			this.#digest = this.digest();
+			this.#answer = undefined;
+		}
+	}
+
 	/** Makes one token and hands its bytes to the readers. */
 	produce(): void {
 		const piece = this.answer.pieces[this.tokens] ?? Buffer.alloc(0);
