Show the progress of the routing measurement and end on bad options with code 2

Cause: the routing part took more than 200 s in one call on the shared machine and showed nothing meanwhile; a bad option printed a stack trace. Change: each policy and lag runs by itself; load and bench print the message only. Conclusion: long parts show where they are.

--- a/packages/bench/src/routing-part.ts
+++ b/packages/bench/src/routing-part.ts
@@ -1,6 +1,6 @@
 /** Routing: balance, prefix reuse and time to first token of the routing policy against its baselines. */
 import type {BenchContext, BenchPart, BenchResult} from './part.js';
-import {runRoutingBench, type RoutingFigures} from './routing.js';
+import {defaultRoutingBench, runRoutingBench, type RoutingFigures} from './routing.js';
 
 function buildResult(figures: readonly RoutingFigures[], note: string): BenchResult {
 	const lags = [...new Set(figures.map(({lagMs}) => lagMs))];
@@ -36,9 +36,17 @@
 	};
 }
 
+/** Runs each policy and lag by itself, so that progress shows; the seeded model gives the same figures. */
 async function runRouting({log, note}: BenchContext): Promise<BenchResult> {
-	log('routing: running the policies');
-	return buildResult(await runRoutingBench(), note);
+	const figures: RoutingFigures[] = [];
+	for (const lagMs of defaultRoutingBench.lagsMs) {
+		for (const policy of defaultRoutingBench.policies) {
+			log(`routing: ${policy} with a report lag of ${lagMs} ms`);
+			figures.push(...await runRoutingBench({lagsMs: [lagMs], policies: [policy]}));
+		}
+	}
+
+	return buildResult(figures, note);
 }
 
 export const routingPart: BenchPart = {
--- a/packages/bench/src/run-bench.ts
+++ b/packages/bench/src/run-bench.ts
@@ -4,6 +4,7 @@
  */
 import process from 'node:process';
 import {parseArgs} from 'node:util';
+import {InputError} from '#core';
 import {
 	BENCH_PARTS, formatMachine, formatResult, readMachine, selectParts, writeResult,
 } from '#bench';
@@ -45,5 +46,14 @@
 	const parts = BENCH_PARTS.map(part => `  ${part.name.padEnd(12)} ${part.description}`).join('\n');
 	console.log(`usage: npm run bench -- [part...] [--json] [--out DIR]\n\n${parts}`);
 } else {
-	await main(positionals, values.json, values.out);
+	try {
+		await main(positionals, values.json, values.out);
+	} catch (error) {
+		if (!(error instanceof InputError)) {
+			throw error;
+		}
+
+		console.error(error.message);
+		process.exitCode = 2;
+	}
 }
--- a/packages/load/src/bin.ts
+++ b/packages/load/src/bin.ts
@@ -137,5 +137,14 @@
 	console.error(USAGE);
 	process.exitCode = 2;
 } else {
-	await main(values.url);
+	try {
+		await main(values.url);
+	} catch (error) {
+		if (!(error instanceof InputError)) {
+			throw error;
+		}
+
+		console.error(error.message);
+		process.exitCode = 2;
+	}
 }
