Check the lease margin and document the constructors

Cause: a margin that is not below the duration gives a lease that is never held; some `create` methods had no doc comment. Change: `Lease.create` throws InvariantError for such a margin; doc comments.

--- a/packages/coordination/__tests__/unit/lease.test.ts
+++ b/packages/coordination/__tests__/unit/lease.test.ts
@@ -14,6 +14,9 @@
 await t.test('a lapsed holder knows before another process can take over, and the fence grows', async t => {
 	const store = MemoryStore.create();
 	const [a, b] = [createLease(store, 'a'), createLease(store, 'b')];
+	t.throws(() => Lease.create({
+		store: store.client('a'), name: NAME, holder: 'a', createId: String, marginMs: 15_000,
+	}), /margin of 15000 ms/);
 	t.match(await a.acquire(1000), {kind: 'held', fence: 1, until: 1090});
 	t.match(await b.acquire(5), {kind: 'other', holder: 'a', retryAt: 105});
 	t.match(await b.acquire(6), {kind: 'other', retryAt: 106}, 'the wait starts with the call after the first sight');
--- a/packages/coordination/src/answer-stream.ts
+++ b/packages/coordination/src/answer-stream.ts
@@ -19,6 +19,7 @@
 
 /** Answer body of one request. */
 export class AnswerStream {
+	/** Creates the stream of a request; `begin` starts its first attempt. */
 	static create(hashes: XXHashAPI): AnswerStream {
 		return new AnswerStream(hashes);
 	}
--- a/packages/coordination/src/claim-shard.ts
+++ b/packages/coordination/src/claim-shard.ts
@@ -58,6 +58,7 @@
 
 /** One process's view of a shard. Batches must be run one after the other. */
 export class ClaimShard {
+	/** Creates the view; the first batch reads the shard. */
 	static create(options: ClaimShardOptions): ClaimShard {
 		return new ClaimShard(options);
 	}
--- a/packages/coordination/src/claim-store.ts
+++ b/packages/coordination/src/claim-store.ts
@@ -42,6 +42,7 @@
 
 /** One process's access to all claims. The promises of its operations resolve only while `flush` is called. */
 export class ClaimStore {
+	/** Creates the access; makes no call before the first `flush`. */
 	static create(options: ClaimStoreOptions): ClaimStore {
 		return new ClaimStore(options);
 	}
--- a/packages/coordination/src/lease.ts
+++ b/packages/coordination/src/lease.ts
@@ -4,10 +4,11 @@
  * so clocks may be offset and may differ in rate by up to the margin.
  */
 import {z} from 'zod';
+import {writeConditionally, type WriteAnswer} from './conditional-write.js';
 import type {
 	CallOptions, ObjectStore, StoredObject, StoreFailure,
 } from './object-store.js';
-import {writeConditionally, type WriteAnswer} from './conditional-write.js';
+import {invariant} from '#core';
 
 /** Settings of a lease. */
 export type LeaseOptions = {
@@ -71,6 +72,11 @@
 
 /** One process's view of a lease. Calls are carried out one after the other. */
 export class Lease {
+	/**
+	 * Creates the view; makes no call.
+	 *
+	 * @throws InvariantError when the margin is negative or not below the duration.
+	 */
 	static create(options: LeaseOptions): Lease {
 		return new Lease(options);
 	}
@@ -90,6 +96,7 @@
 		this.#options = options;
 		this.#durationMs = options.durationMs ?? DEFAULT_DURATION_MS;
 		this.#marginMs = options.marginMs ?? DEFAULT_MARGIN_MS;
+		invariant(this.#marginMs >= 0 && this.#marginMs < this.#durationMs, `lease: margin of ${this.#marginMs} ms in a duration of ${this.#durationMs} ms`);
 	}
 
 	/** Highest fencing number seen in the store, 0 if none; never decreases. */
--- a/packages/coordination/src/retry-budget.ts
+++ b/packages/coordination/src/retry-budget.ts
@@ -21,6 +21,11 @@
 
 /** Counts requests and retries over a sliding window. */
 export class RetryBudget {
+	/**
+	 * Creates a budget with an empty window.
+	 *
+	 * @throws InvariantError when the window is not positive, or the fraction or floor is negative.
+	 */
 	static create(options: RetryBudgetOptions = {}): RetryBudget {
 		return new RetryBudget(options);
 	}
--- a/packages/coordination/src/versioned-config.ts
+++ b/packages/coordination/src/versioned-config.ts
@@ -31,6 +31,7 @@
 
 /** Holds the highest version seen and tells when a starting process knows enough to serve. */
 export class VersionedConfig {
+	/** Creates a holder that has seen no version yet. */
 	static create(options: VersionedConfigOptions): VersionedConfig {
 		return new VersionedConfig(options);
 	}
--- a/packages/platform/src/client.ts
+++ b/packages/platform/src/client.ts
@@ -58,6 +58,7 @@
 
 /** The only path from this project to the platform. */
 export class PlatformClient implements ObjectStore {
+	/** Creates a client; connections are made with the first call. */
 	static create(options: PlatformClientOptions): PlatformClient {
 		return new PlatformClient(options);
 	}
--- a/packages/standins-platform/src/instance-list.ts
+++ b/packages/standins-platform/src/instance-list.ts
@@ -23,6 +23,7 @@
 
 /** Registrations become visible `lagMs` after they were made. */
 export class InstanceList {
+	/** Creates an empty list with a lag in ms. */
 	static create(lagMs: number): InstanceList {
 		return new InstanceList(lagMs);
 	}
