Routing: small batches do not move prompts off their home

Cause: the balance penalty and the home bound are relative to the mean batch, so on a quiet fleet one running request more looked like a full batch. Change: differences count as if the mean batch were at least 16; an unused statistic is gone. The new unit test fails without the change.

--- a/packages/routing/__tests__/unit/routing.test.ts
+++ b/packages/routing/__tests__/unit/routing.test.ts
@@ -103,6 +103,15 @@
 	t.end();
 });
 
+await t.test('on a quiet fleet a few running requests do not move a prompt off its home', t => {
+	const entries = Array.from({length: 10}, (_, index) => entry(`e${index}`));
+	const prefixes = [{hash: hashHex('system'), tokens: 200}, {hash: hashHex('first'), tokens: 300}, {hash: hashHex('second'), tokens: 400}];
+	const [home = ''] = rendezvous(hashHex('first'), entries.map(({id}) => id), 1);
+	const loads = Object.fromEntries(entries.map(({id}) => [id, {running: id === home ? 4 : 0}]));
+	t.equal(chosen(tableOf(entries, loads), {...request, prefixes}, 400, () => 0.95), home);
+	t.end();
+});
+
 await t.test('the prefix memory follows notes, forgets work that did not run and stays within its bound', t => {
 	const memory = PrefixMemory.create(3);
 	const prefixes = [{hash: 'a', tokens: 10}, {hash: 'b', tokens: 300}];
--- a/packages/routing/src/choose.ts
+++ b/packages/routing/src/choose.ts
@@ -1,5 +1,5 @@
 /** Choice of a replica: the cheapest among two random candidates, the prefix home and remembered holders. */
-import {costOf} from './cost.js';
+import {costOf, SMALL_BATCH} from './cost.js';
 import {rendezvous} from './hashing.js';
 import {isService, servesModel} from './model-name.js';
 import {isLeaving, isSuspected, type RoutingTable} from './table.js';
@@ -115,7 +115,7 @@
 	const running = (replica.report?.running ?? stats.meanRunning) + replica.unreported.length;
 	const meanQueueMs = stats.meanQueuedTokens * 1000 / Math.max(1, stats.meanPeakTokensPerSecond);
 	return cost.queueMs + cost.ownMs > Math.max(HOME_FREE_WAIT_MS, meanQueueMs * HOME_QUEUE_BOUND)
-		|| running > (stats.meanRunning * HOME_BOUND) + 1;
+		|| running > Math.max(SMALL_BATCH, stats.meanRunning) * HOME_BOUND;
 }
 
 /**
--- a/packages/routing/src/cost.ts
+++ b/packages/routing/src/cost.ts
@@ -19,6 +19,8 @@
 const RUNNING_MEMORY_MS = 20_000;
 /** Cost of running as many requests again as the mean of the fleet; a larger one moves conversations off their home and costs cache hits. */
 const BALANCE_MS = 8000;
+/** Below this mean batch a request more or less says little about load, so differences count as if the mean were this. */
+export const SMALL_BATCH = 16;
 /**
  * A prompt placed away from its home will be computed again when the conversation returns there, and
  * each computed token delays every request queued behind it. Without this weight a busy fleet gives up
@@ -99,7 +101,7 @@
 	const running = aged(report?.running, stats.meanRunning, ageMs, RUNNING_MEMORY_MS) + replica.unreported.length;
 	const isScattered = request.prefixes.length > 0 && basis !== 'prefix-home' && basis !== 'prefix-memory';
 	const scatterMs = isScattered ? SCATTER_WEIGHT * msPerToken * request.inputTokens : 0;
-	const balanceMs = stats.meanRunning > 0 ? BALANCE_MS * ((running / stats.meanRunning) - 1) : 0;
+	const balanceMs = BALANCE_MS * (running - stats.meanRunning) / Math.max(SMALL_BATCH, stats.meanRunning);
 	return {
 		id: replica.id,
 		source: basis,
--- a/packages/routing/src/fleet-stats.ts
+++ b/packages/routing/src/fleet-stats.ts
@@ -15,8 +15,6 @@
 	readonly meanPeakTokensPerSecond: number;
 	/** Median step time, milliseconds. */
 	readonly medianStepMs: number;
-	/** Mean of this entry's unfinished tokens on a subscribed replica. */
-	readonly meanOwnTokens: number;
 };
 
 export const emptyStats: FleetStats = {
@@ -26,7 +24,6 @@
 	meanRunning: 0,
 	meanPeakTokensPerSecond: 0,
 	medianStepMs: 0,
-	meanOwnTokens: 0,
 };
 
 /** Takes the statistics at `now`. */
@@ -35,7 +32,6 @@
 	let queued = 0;
 	let running = 0;
 	let peak = 0;
-	let own = 0;
 	for (const replica of replicas) {
 		const {report} = replica;
 		if (report === undefined || now - replica.reportedAt > MAX_REPORT_AGE_MS) {
@@ -46,7 +42,6 @@
 		queued += report.queuedTokens;
 		running += report.running;
 		peak += replica.peakTokensPerSecond;
-		own += replica.ownTokens;
 	}
 
 	const known = steps.length;
@@ -61,6 +56,5 @@
 		meanRunning: running / known,
 		meanPeakTokensPerSecond: peak / known,
 		medianStepMs: steps.toSorted((a, b) => a - b)[Math.floor((known - 1) / 2)] ?? 0,
-		meanOwnTokens: own / known,
 	};
 }
