Check in the fuzz test that no two epochs of a group make steps in turn

Cause: taking out one of the two rules that the former failure led to (quorum, return to the recorded map) went unnoticed, since each masks the other. Change: once an epoch has made a step, a step of an earlier one is a violation. Conclusion: two parts of a group that both serve fail the test directly.

--- a/packages/expertmap/__tests__/group-simulation.ts
+++ b/packages/expertmap/__tests__/group-simulation.ts
@@ -55,6 +55,8 @@
 	#recordVersion = 1;
 	#lease = {holder: '', until: 0, fence: 0};
 	#flowingSince = 0;
+	#epoch = 1;
+	readonly #pastEpochs = new Set<number>();
 
 	constructor(count: number, seed: number) {
 		this.ids = Array.from({length: count}, (_, index) => String.fromCodePoint(97 + index));
@@ -168,7 +170,7 @@
 			}
 
 			if (this.now % STEP_MS === 0) {
-				this.group.tick(this.now);
+				this.#step();
 			}
 
 			this.#observe();
@@ -336,6 +338,20 @@
 		});
 	}
 
+	/** Runs the engines; once an epoch has made a step, none before it may make another, or two parts would both serve. */
+	#step(): void {
+		for (const {epoch, step} of this.group.tick(this.now)) {
+			if (this.#pastEpochs.has(epoch)) {
+				this.violations.push(`step ${step} of epoch ${epoch} after a step of epoch ${this.#epoch}`);
+			}
+
+			if (epoch !== this.#epoch) {
+				this.#pastEpochs.add(this.#epoch);
+				this.#epoch = epoch;
+			}
+		}
+	}
+
 	/** Checks the bound on holds while nothing is faulty. */
 	#observe(): void {
 		const isFlowing = this.loss === 0 && this.maxDelayMs <= 5 && this.isolated.size === 0 && this.socketDelayMs.size === 0
