Count all endpoints for the quorum after a restart until a step is seen

Change: until a process has seen a step of the engine's epoch, the quorum is taken of all endpoints of the group. Ruled out: keeping the former members in the engine, which has no such order.

--- a/packages/expertmap/src/member-core.ts
+++ b/packages/expertmap/src/member-core.ts
@@ -290,7 +290,7 @@
 			return;
 		}
 
-		const base = this.forming?.base ?? this.state.members;
+		const base = this.forming?.base ?? this.#lastFormed(this.state);
 		const input: ReformInput = {
 			self: this.options.id, state: this.state, base, peers: this.views.recent(now), random: this.options.random,
 		};
@@ -312,6 +312,14 @@
 		}
 	}
 
+	/**
+	 * Members of the last epoch known to have made a step. After a restart that is unknown
+	 * until a step is seen: the present epoch may not have formed, so all endpoints count.
+	 */
+	#lastFormed(state: EngineState): readonly string[] {
+		return this.#steppedIn === state.epoch ? state.members : [this.options.id, ...this.views.ids];
+	}
+
 	#adoptGate(state: EngineState): void {
 		const {change} = this;
 		const isOver = change !== undefined
