Hand suspects to their new homes, and hash prompts by message

Cause: a home that moved left its suspects behind, and a permission could be given that the other home did not know; prefixes of chats were cut at lengths that no two chats share. Change: records follow the homes; a permission waits until every home that is not known to be dead has it; prefixes end where messages end.

--- a/packages/entry/src/inference.ts
+++ b/packages/entry/src/inference.ts
@@ -11,9 +11,13 @@
 /** Output tokens expected when the caller names no limit. */
 const DEFAULT_OUTPUT_TOKENS = 375;
 
-/** Prefixes of these lengths in characters are hashed; a caller's system prompt fills the first ones. */
+/** Text prompts have no messages; their prefixes are hashed at these lengths in characters. */
 const PREFIX_CHARS = [256, 1024, 4096, 16_384] as const;
 
+/** Prefixes kept for one request: the first two messages fix its home, the last ones its replica. */
+const FIRST_PREFIXES = 2;
+const LAST_PREFIXES = 6;
+
 const contentSchema = z.union([z.string(), z.array(z.unknown()), z.null()]);
 const bodySchema = z.object({
 	model: z.string().min(1).max(256),
@@ -39,12 +43,19 @@
 	return typeof content === 'string' ? content : JSON.stringify(content ?? '');
 }
 
-function promptOf(body: z.infer<typeof bodySchema>): string {
-	if (body.messages !== undefined) {
-		return body.messages.map(({role, content}) => `${role}\n${contentText(content)}`).join('\n');
+/** The prompt as one text, and the lengths of its prefixes that other requests may share, shortest first. */
+function promptOf(body: z.infer<typeof bodySchema>): {readonly prompt: string; readonly lengths: readonly number[]} {
+	if (body.messages === undefined || body.messages.length <= 1) {
+		const prompt = body.messages === undefined ? contentText(body.prompt) : contentText(body.messages[0]?.content);
+		return {prompt, lengths: [...PREFIX_CHARS.filter(length => length < prompt.length), prompt.length]};
 	}
 
-	return contentText(body.prompt);
+	let prompt = '';
+	const ends = body.messages.map(({role, content}) => {
+		prompt += `${role}\n${contentText(content)}\n`;
+		return prompt.length;
+	});
+	return {prompt, lengths: [...new Set([...ends.slice(0, FIRST_PREFIXES), ...ends.slice(-LAST_PREFIXES)])]};
 }
 
 /**
@@ -67,15 +78,13 @@
 	}
 
 	const {model, stream, max_tokens: maxTokens, max_completion_tokens: maxCompletionTokens} = parsed.data;
-	const prompt = promptOf(parsed.data);
+	const {prompt, lengths} = promptOf(parsed.data);
 	return ok({
 		model,
 		stream: stream ?? false,
 		inputTokens: Math.ceil(prompt.length / CHARS_PER_TOKEN),
 		outputTokens: maxCompletionTokens ?? maxTokens ?? DEFAULT_OUTPUT_TOKENS,
-		prefixes: PREFIX_CHARS
-			.filter(length => prompt.length >= length)
-			.map(length => ({hash: hashHex(`${model}|${prompt.slice(0, length)}`), tokens: Math.floor(length / CHARS_PER_TOKEN)})),
+		prefixes: lengths.map(length => ({hash: hashHex(`${model}|${prompt.slice(0, length)}`), tokens: Math.ceil(length / CHARS_PER_TOKEN)})),
 		fingerprint: hashHex(`${model}|${prompt}`),
 	});
 }
--- a/packages/entry/src/suspects.ts
+++ b/packages/entry/src/suspects.ts
@@ -16,6 +16,9 @@
 /** Permissions of an entry that is gone end after this time; endpoints cancel a lost entry's work at once. */
 const DEATH_PAUSE_MS = 5000;
 
+/** Pause before a permission is asked for again. */
+const WAIT_MS = 1000;
+
 /** Fingerprints in one message; the latest are told to an entry that connects. */
 const MAX_LISTED = 4096;
 
@@ -90,6 +93,10 @@
 			peering.kernel.registerUpdateListener((next, prev) => {
 				const gone = prev.directory === next.directory ? [] : prev.directory.entryIds.filter(entryId => next.directory.get(entryId) === undefined);
 				this.#onGone(gone);
+				if (next.directory.entryIds.join(',') !== prev.directory.entryIds.join(',')) {
+					// Homes may have moved, so records go to where they belong now.
+					void this.#replicate(this.#registry.records(Date.now()));
+				}
 			}),
 		);
 	}
@@ -112,7 +119,7 @@
 	async ask(print: string, permitId: string): Promise<Permission> {
 		const answer = await this.#askHomes(print, {kind: 'ask', fingerprint: print, permitId});
 		const parsed = permissionSchema.safeParse(answer);
-		return parsed.success ? parsed.data : {kind: 'wait', retryAfterMs: 1000};
+		return parsed.success ? parsed.data : {kind: 'wait', retryAfterMs: WAIT_MS};
 	}
 
 	/** Reports a crash that hit a request of this entry. Resolves once a home knows of it, or no home can be reached. */
@@ -195,8 +202,8 @@
 		switch (question.kind) {
 			case 'ask': {
 				const {permission, changed} = this.#registry.ask({fingerprint: question.fingerprint, permitId: question.permitId, entryId: from}, now);
-				await this.#replicate(changed === undefined ? [] : [changed]);
-				return permission;
+				const known = await this.#replicate(changed === undefined ? [] : [changed]);
+				return known ? permission : {kind: 'wait', retryAfterMs: WAIT_MS} satisfies Permission;
 			}
 
 			case 'crash': {
@@ -218,22 +225,30 @@
 		}
 	}
 
-	/** Gives changed records to the other home before anybody is answered. */
-	async #replicate(records: readonly SuspectRecord[]): Promise<void> {
+	/**
+	 * Gives changed records to the other homes before anybody is answered.
+	 *
+	 * @returns False if a home that is not known to be dead did not take them: it could otherwise take over without them.
+	 */
+	async #replicate(records: readonly SuspectRecord[]): Promise<boolean> {
 		const self = this.#peering.machine.id;
-		await Promise.all(records.map(async record => {
-			const other = this.#homes(record.fingerprint).find(home => home !== self);
-			if (other === undefined) {
-				return;
-			}
-
-			try {
-				const link = await this.#peering.linkTo(other);
-				await this.#peering.pool.ask(link, TOPIC, {kind: 'merge', records: [toWire(record)]});
-			} catch {
-				this.#log.warn('successor does not answer; deciding alone', {other});
-			}
+		const taken = await Promise.all(records.map(async record => {
+			const others = this.#homes(record.fingerprint).filter(home => home !== self);
+			const answers = await Promise.all(others.map(async home => this.#giveTo(home, record)));
+			return answers.every(Boolean);
 		}));
+		return taken.every(Boolean);
+	}
+
+	async #giveTo(home: string, record: SuspectRecord): Promise<boolean> {
+		try {
+			const link = await this.#peering.linkTo(home);
+			await this.#peering.pool.ask(link, TOPIC, {kind: 'merge', records: [toWire(record)]});
+			return true;
+		} catch {
+			this.#log.warn('other home does not answer', {home});
+			return this.#peering.kernel.snapshot.directory.get(home) === undefined;
+		}
 	}
 
 	#onGone(entryIds: readonly string[]): void {
