--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -4,16 +4,18 @@
 import path from 'node:path';
 import process from 'node:process';
 import type {BenchPart, BenchResult} from './part.js';
+import {controlPart} from './control-part.js';
 import {overloadPart} from './overload-part.js';
 import {passingPart} from './passing.js';
 import {routingPart} from './routing-part.js';
+import {slopesPart} from './slopes-part.js';
 import {skewPart} from './skew-part.js';
 import {throughputPart} from './throughput.js';
 import {renderChart, renderMarkdownTable, renderTextTable} from '#reports';
 import {InputError} from '#core';
 
 /** All parts in the order in which they run. */
-export const BENCH_PARTS: readonly BenchPart[] = [passingPart, throughputPart, skewPart, routingPart, overloadPart];
+export const BENCH_PARTS: readonly BenchPart[] = [passingPart, throughputPart, skewPart, routingPart, overloadPart, controlPart, slopesPart];
 
 /** Machine and time of a measurement. */
 export type MachineInfo = {
--- a/packages/endpoint/src/rebalancer.ts
+++ b/packages/endpoint/src/rebalancer.ts
@@ -2,13 +2,13 @@
  * Weighs changes of the expert map while this process leads its group: collects the
  * observed expert loads of all engines, asks the planner, and proposes its map.
  */
-import {setInterval} from 'node:timers/promises';
+import {setImmediate, setInterval} from 'node:timers/promises';
 import {z} from 'zod';
 import {type GroupAgent} from './group-agent.js';
 import {mergeTeardowns, type Teardown} from '#core';
 import {type EngineClient} from '#engine';
 import {
-	RebalancePlanner, staticSpread, type ExpertMap, type FixedHours, type LayerLoad,
+	RebalancePlanner, staticSpread, type ExpertMap, type FixedHours, type LayerLoad, type PlanDecision,
 } from '#expertmap';
 import {type Peering} from '#peering';
 import {expertRule, ruleDefaults, type ExpertRule} from '#rules';
@@ -107,7 +107,7 @@
 			return;
 		}
 
-		const decision = this.#plannerFor().plan(this.#mapInForce(load), load, Date.now());
+		const decision = await this.#plan(load);
 		if (decision.kind === 'keep') {
 			metrics.count('mapChanges', `kept-${decision.reason}`);
 			return;
@@ -117,6 +117,18 @@
 		this.#log.info('change of the expert map proposed', {moves: decision.moves, gain: decision.gain, proposed});
 	}
 
+	/** Plans layer by layer, so that streams are served in between: 60 layers take up to a second in all. */
+	async #plan(load: Loads): Promise<PlanDecision> {
+		const slices = this.#plannerFor().planInSlices(this.#mapInForce(load), load, Date.now());
+		let slice = slices.next();
+		while (slice.done !== true) {
+			await setImmediate();
+			slice = slices.next();
+		}
+
+		return slice.value;
+	}
+
 	/** Tokens per layer and expert over all engines of the group; undefined if one does not answer. */
 	async #totals(): Promise<Loads | undefined> {
 		const {peering, group} = this.#options;
--- a/packages/harness/src/test-fleet.ts
+++ b/packages/harness/src/test-fleet.ts
@@ -151,7 +151,9 @@
 		const ranks = options.ranks ?? '0-7';
 		const section = `kind = model\ngroup = ${group}\ngroup-size = ${groupSize}\nranks = ${ranks}\nmodels = ${models.join(',')}\n`;
 		return this.#addEndpoint({
-			id, backend, port: Number(backend.hello.listening), place: options, section, instance: {kind: 'model', group, ranks: [Number(ranks.split('-')[0])], models},
+			id, backend, port: Number(backend.hello.listening), place: options, section, instance: {
+				kind: 'model', group, ranks: [Number(ranks.split('-')[0])], models,
+			},
 		});
 	}
 
@@ -176,11 +178,18 @@
 		return Promise.all(ids.map(async (id, i) => {
 			const first = i * ranksEach;
 			const section = [
-				'kind = model', `group = ${group}`, `group-size = ${GROUP_RANKS}`, `ranks = ${first}-${first + ranksEach - 1}`, `models = ${models.join(',')}`,
-				`rebalance-seconds = ${options.rebalanceSeconds ?? 30}`, '',
+				'kind = model',
+				`group = ${group}`,
+				`group-size = ${GROUP_RANKS}`,
+				`ranks = ${first}-${first + ranksEach - 1}`,
+				`models = ${models.join(',')}`,
+				`rebalance-seconds = ${options.rebalanceSeconds ?? 30}`,
+				'',
 			].join('\n');
 			return this.#addEndpoint({
-				id, backend, port: ports[i] ?? 0, place: options, section, instance: {kind: 'model', group, ranks: [first], models},
+				id, backend, port: ports[i] ?? 0, place: options, section, instance: {
+					kind: 'model', group, ranks: [first], models,
+				},
 			});
 		}));
 	}
@@ -194,6 +203,14 @@
 		});
 	}
 
+	/** Starts an endpoint process beside a service that runs already and that others share. */
+	async addSharedService(service: string, backend: Child, place: Place = {}): Promise<EndpointNode> {
+		this.#endpointCount += 1;
+		return this.#addEndpoint({
+			id: `ep-${this.#endpointCount}`, backend, port: Number(backend.hello.listening), place, section: `kind = service\nservice = ${service}\n`, instance: {kind: 'service', service},
+		});
+	}
+
 	async addEntry(options: Place & {readonly seeds?: readonly string[]} = {}): Promise<EntryNode> {
 		this.#entryCount += 1;
 		const id = `entry-${this.#entryCount}`;
--- a/packages/peering/src/peering.ts
+++ b/packages/peering/src/peering.ts
@@ -20,6 +20,9 @@
 /** Heartbeats on all other links, each so many rounds; changes are announced at once. */
 const OTHER_HEARTBEAT_ROUNDS = 5;
 
+/** The traffic of the links is logged each so many rounds. */
+const TRAFFIC_ROUNDS = 5;
+
 /** A link that was not heard for this time is closed; it is longer than three slow heartbeats. */
 const SILENT_LINK_MS = 20_000;
 
@@ -74,6 +77,7 @@
 	readonly #options: PeeringOptions;
 	readonly #log: Logger;
 	#round = 0;
+	#closedBytes = 0;
 
 	private constructor(options: PeeringOptions) {
 		this.#options = options;
@@ -100,6 +104,11 @@
 		this.pool.registerLinkListener(link => {
 			this.#onLink(link);
 		});
+		this.pool.registerCloseListener(({counts}) => {
+			this.#closedBytes += counts.bytesSent + counts.bytesReceived;
+		});
+		options.metrics.registerGauge('link_bytes', 'Bytes on all peer links since the start, both directions.', () => this.linkBytes);
+		options.metrics.registerGauge('links', 'Open peer links.', () => this.pool.links.length);
 	}
 
 	/** This machine as it announces itself. */
@@ -366,6 +375,7 @@
 				this.#keepNeighbours();
 				this.#sendHeartbeats();
 				this.#closeSilentLinks();
+				this.#logTraffic();
 			}
 		} catch (error) {
 			if (!this.#options.signal.aborted) {
@@ -410,6 +420,22 @@
 		this.#broadcast(heartbeat, link => everybody || neighbours.has(link.peer.id));
 	}
 
+	/** Bytes on all links since the start, both directions; closed links count too. */
+	get linkBytes(): number {
+		let bytes = this.#closedBytes;
+		for (const {counts} of this.pool.links) {
+			bytes += counts.bytesSent + counts.bytesReceived;
+		}
+
+		return bytes;
+	}
+
+	#logTraffic(): void {
+		if (this.#round % TRAFFIC_ROUNDS === 0) {
+			this.#log.info('link bytes', {bytes: this.linkBytes, links: this.pool.links.length});
+		}
+	}
+
 	#closeSilentLinks(): void {
 		const oldest = Date.now() - SILENT_LINK_MS;
 		for (const link of this.pool.links) {
--- a/packages/settings/__tests__/unit/settings.test.ts
+++ b/packages/settings/__tests__/unit/settings.test.ts
@@ -55,7 +55,7 @@
 		role: 'endpoint',
 		backendUrl: 'http://127.0.0.1:9000',
 		backend: {
-			kind: 'model', group: 'drafting-1', groupSize: 64, ranks: {first: 8, last: 15}, models: ['drafting', 'mimosa-serve'], rebalanceSeconds: 30,
+			kind: 'model', group: 'drafting-1', groupSize: 64, ranks: {first: 8, last: 15}, models: ['drafting', 'mimosa-serve'], rebalanceSeconds: 60,
 		},
 	});
 	const service = [...endpointLines.slice(0, 7), 'kind = service', 'service = ledger ; the booking service', endpointLines[8] ?? '', ...endpointLines.slice(13)];
--- a/packages/settings/src/model.ts
+++ b/packages/settings/src/model.ts
@@ -79,8 +79,8 @@
 	logLevel: 'info',
 	// A body travels in one message between processes, whose limit is 1 MiB.
 	maxBodyBytes: 768 * 1024,
-	// Expert popularity drifts over hours and jumps within minutes; loads of 64 ranks cost their leader about 2 KB/s at this interval.
-	rebalanceSeconds: 30,
+	// Expert popularity drifts over hours and jumps within minutes; planning 60 layers takes a process about a second.
+	rebalanceSeconds: 60,
 	// Reports of 64 bytes from 64 endpoints a second leave room in 5 KB/s for heartbeats, demand and the directory.
 	subsetSize: 64,
 } as const;
