End the children of a test with it, and name single ranks after their endpoints

Cause: engines of failed tests went on running (14 of them found, up to 36 minutes old), and the rank of a single engine had another id than its endpoint. Change: the harness kills its children when its own process ends for whatever reason.

--- a/packages/harness/src/child.ts
+++ b/packages/harness/src/child.ts
@@ -14,6 +14,37 @@
 	return spawn(process.execPath, ['--enable-source-maps', module, ...args], {stdio: ['ignore', 'pipe', 'pipe']});
 }
 
+const running = new Set<Child>();
+let endsWithThisProcess = false;
+
+/** Children must not outlive a test that fails, is stopped or throws. */
+function endWithThisProcess(child: Child): void {
+	running.add(child);
+	void child.exited.then(() => {
+		running.delete(child);
+	});
+	if (endsWithThisProcess) {
+		return;
+	}
+
+	endsWithThisProcess = true;
+	process.once('exit', () => {
+		for (const other of running) {
+			other.signal('SIGKILL');
+		}
+	});
+	for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP'] as const) {
+		process.once(signal, () => {
+			for (const other of running) {
+				other.signal('SIGKILL');
+			}
+
+			// The handler is gone by now, so this ends the process.
+			process.kill(process.pid, signal);
+		});
+	}
+}
+
 type PipedProcess = ReturnType<typeof spawnPiped>;
 
 export class Child {
@@ -24,6 +55,7 @@
 	 */
 	static async create(name: string, module: string, args: readonly string[]): Promise<Child> {
 		const child = new Child(name, spawnPiped(module, args));
+		endWithThisProcess(child);
 		await child.#started;
 		return child;
 	}
--- a/packages/harness/src/test-fleet.ts
+++ b/packages/harness/src/test-fleet.ts
@@ -145,7 +145,7 @@
 		const id = `ep-${this.#endpointCount}`;
 		const models = options.models ?? ['drafting@1'];
 		const names = [...new Set(models.map(model => model.split('@')[0] ?? model))];
-		const backend = await Child.create(`engine of ${id}`, 'dist/standins-engine/src/bin.js', [...names.flatMap(name => ['--model', name]), ...options.args ?? []]);
+		const backend = await Child.create(`engine of ${id}`, 'dist/standins-engine/src/bin.js', [...names.flatMap(name => ['--model', name]), '--rank-id', id, ...options.args ?? []]);
 		const group = options.group ?? `group-${id}`;
 		const groupSize = options.groupSize ?? 8;
 		const ranks = options.ranks ?? '0-7';
