Write log lines together

Cause: the passing measurement showed 2.7 ms of processor time per request at the entry, and a profile of 600 requests 287 ms in blocking writes of log lines to a pipe and 239 ms in writev. Ruled out: logging fewer requests, since one request must be followed end to end.

--- a/packages/telemetry/src/logger.ts
+++ b/packages/telemetry/src/logger.ts
@@ -1,5 +1,6 @@
 /** JSON logs by bunyan. Each part of the system logs with a fixed prefix. */
 import bunyan from 'bunyan';
+import {BufferedOutput} from './buffered-output.js';
 
 /** Fields that go with a log line; `requestId` follows one request end to end. */
 export type LogFields = Readonly<Record<string, unknown>>;
@@ -42,7 +43,8 @@
  * @param id - Machine id, a field of each line.
  */
 export function createLogger(id: string, level: LogLevel): Logger {
-	return wrap(bunyan.createLogger({name: 'mimosamountd', machine: id, level}), 'daemon');
+	const stream = BufferedOutput.create() as unknown as NodeJS.WritableStream;
+	return wrap(bunyan.createLogger({name: 'mimosamountd', machine: id, streams: [{level, stream}]}), 'daemon');
 }
 
 /** A logger that discards everything, for tests and embedding. */
