--- a/packages/harness/src/index.ts
+++ b/packages/harness/src/index.ts
@@ -1,5 +1,6 @@
 /** Public index: real processes for tests, the demo and benchmarks. Development only. */
 export {Child} from './child.js';
+export {runCommand, type CommandResult} from './command.js';
 export {
 	keyHash, OPERATOR_KEY, PLATFORM_KEY, SHARED_KEY, TestFleet, type EndpointNode, type EngineOptions, type EntryNode, type Place, type ServiceOptions,
 } from './test-fleet.js';
--- a/packages/harness/src/test-fleet.ts
+++ b/packages/harness/src/test-fleet.ts
@@ -8,6 +8,7 @@
 import path from 'node:path';
 import {request} from 'undici';
 import {Child} from './child.js';
+import {runCommand, type CommandResult} from './command.js';
 import {waitUntil} from './wait.js';
 import {type Status} from '#admin';
 
@@ -70,6 +71,7 @@
 	readonly #others: Child[] = [];
 	#entryCount = 0;
 	#endpointCount = 0;
+	#appliedCount = 0;
 
 	private constructor(platform: Child) {
 		this.platform = platform;
@@ -102,6 +104,16 @@
 		}
 	}
 
+	/** Applies rules with the command-line tool, as an operator does. */
+	async applyRules(author: string, text: string, args: readonly string[] = []): Promise<CommandResult> {
+		this.#appliedCount += 1;
+		const rulesFile = path.join(this.#folder, `applied-${this.#appliedCount}.rules`);
+		const keyFile = path.join(this.#folder, 'platform.key');
+		writeFileSync(rulesFile, text);
+		writeFileSync(keyFile, PLATFORM_KEY, {mode: 0o600});
+		return runCommand('dist/cli/src/bin.js', ['rules', 'apply', rulesFile, '--platform', this.platformUrl, '--platform-key-file', keyFile, '--author', author, ...args]);
+	}
+
 	/** Switches faults of a stand-in. */
 	async faults(url: string, faults: Readonly<Record<string, unknown>>): Promise<void> {
 		const res = await request(`${url}/faults`, {method: 'POST', headers: {'content-type': 'application/json'}, body: JSON.stringify(faults)});
@@ -201,6 +213,15 @@
 		}
 	}
 
+	/** Takes a machine out of the platform's list, as the platform does once it knows that the instance is gone. */
+	async unregister(id: string): Promise<void> {
+		const res = await request(`${this.platformUrl}/instances/${id}`, {method: 'DELETE', headers: {authorization: `Bearer ${PLATFORM_KEY}`}});
+		await res.body.dump();
+		if (res.statusCode >= 300) {
+			throw new Error(`instance ${id} was not removed: ${res.statusCode}`);
+		}
+	}
+
 	/** Keeps a process of the caller's for `stop`. */
 	own(child: Child): void {
 		this.#others.push(child);
--- a/packages/integration/src/fixtures.ts
+++ b/packages/integration/src/fixtures.ts
@@ -60,3 +60,12 @@
 export async function countsOf(fleet: TestFleet, node: EndpointNode): Promise<Readonly<Record<string, number>>> {
 	return await fleet.read(`${node.backendUrl}/counts`) as Record<string, number>;
 }
+
+/** What an engine did for one request id: the state of each run, and the xxhash64 of the bytes that the latest made. */
+export type RunCount = {readonly states: readonly string[]; readonly hash: string};
+
+/** Requests that an engine ran, by its own account. */
+export async function runsOn(fleet: TestFleet, node: EndpointNode): Promise<ReadonlyMap<string, RunCount>> {
+	const {byId} = await fleet.read(`${node.backendUrl}/counts`) as {readonly byId: Readonly<Record<string, RunCount>>};
+	return new Map(Object.entries(byId));
+}
--- a/packages/peering/src/platform-watch.ts
+++ b/packages/peering/src/platform-watch.ts
@@ -20,6 +20,12 @@
 /** Pause after a failed call, and between checks whether this machine became a watcher. */
 const RETRY_INTERVAL_MS = 1000;
 
+/**
+ * Interval at which a watcher reads the rules while the platform's bookmarks show changes.
+ * A watch can leave a change out, and bookmarks count changes of all objects.
+ */
+const REREAD_INTERVAL_MS = 2000;
+
 const rulesSchema = z.object({version: z.number().int().positive(), text: z.string()});
 
 export type PlatformWatchOptions = {
@@ -41,6 +47,10 @@
 	readonly #options: PlatformWatchOptions;
 	readonly #log: Logger;
 	#readOnce = false;
+	/** Time of the last answered read of the rules, ms since the epoch. */
+	#readAt = 0;
+	/** Version of the last bookmark after which the rules were read. */
+	#checkedVersion = '';
 	#listedOnce = false;
 
 	private constructor(options: PlatformWatchOptions) {
@@ -73,22 +83,43 @@
 			return;
 		}
 
+		const version = await this.#readRules();
+		if (version === undefined) {
+			this.#options.peering.notePlatform('unreachable', false);
+			return;
+		}
+
+		this.#readOnce = true;
+		if (this.#watches) {
+			await this.#watch(version);
+		}
+	}
+
+	/** Reads the rules and takes them in. Returns the version of the object, `0` if there is none; undefined if the platform did not answer. */
+	async #readRules(): Promise<string | undefined> {
 		const {peering, platform, signal} = this.#options;
 		const read = await platform.read(RULES_OBJECT, {signal});
 		if (read.kind === 'failed' && read.failure.kind !== 'missing') {
-			peering.notePlatform('unreachable', false);
-			return;
+			return undefined;
 		}
 
 		if (read.kind === 'ok') {
 			this.#offer(read.value.value);
 		}
 
-		this.#readOnce = true;
+		this.#readAt = Date.now();
 		peering.notePlatform('answered', true);
-		if (this.#watches) {
-			await this.#watch(read.kind === 'ok' ? read.value.resourceVersion : '0');
+		return read.kind === 'ok' ? read.value.resourceVersion : '0';
+	}
+
+	/** Confirms the rules in force by a bookmark, or by a read if the watch may have left a change of the rules out. */
+	async #onBookmark(version: string): Promise<void> {
+		if (version !== this.#checkedVersion && Date.now() - this.#readAt >= REREAD_INTERVAL_MS && await this.#readRules() !== undefined) {
+			this.#checkedVersion = version;
+			return;
 		}
+
+		this.#options.peering.notePlatform('answered', version === this.#checkedVersion);
 	}
 
 	async #watch(version: string): Promise<void> {
@@ -108,7 +139,7 @@
 				}
 
 				case 'bookmark': {
-					peering.notePlatform('answered', true);
+					await this.#onBookmark(event.resourceVersion);
 					break;
 				}
 
