Let requests of a crashed batch run again apart from others

Cause: a crash makes every request of its batch a suspect, and each rerun took from the entry's retry budget (10 % of requests, floor 3). Innocent requests were refused as retry-budget. A suspect also gave up after 6 attempts, because endpoints that run another suspect refuse it.

Change: a rerun after a reported engine crash takes nothing from the retry budget, because the quarantine bounds such runs. A suspect with a permission that is refused as endpoint-full waits 250 ms and may use every endpoint again, until its deadline; such refusals do not count as attempts.

Ruled out: a larger budget, which would amplify an outage.

Conclusion: holds while the entry that carries the crashing request lives.

--- a/packages/entry/src/model-request.ts
+++ b/packages/entry/src/model-request.ts
@@ -36,6 +36,9 @@
 /** More attempts than this only add load. */
 const MAX_ATTEMPTS = 6;
 
+/** A suspect that finds no endpoint without another suspect tries again after this time; a run takes seconds. */
+const SUSPECT_PAUSE_MS = 250;
+
 /** What all requests of one entry share. */
 export type RequestContext = {
 	readonly peering: Peering;
@@ -95,6 +98,8 @@
 	readonly #excluded = new Set<string>();
 	#attempt: Attempt | undefined;
 	#attempts = 0;
+	/** Attempts of a suspect that were refused because it must run apart from others. */
+	#keptApart = 0;
 	/** When a stream that was begun first found no endpoint. */
 	#lostAt: number | undefined;
 	/** `unknown` once any attempt may have run. */
@@ -163,7 +168,7 @@
 				this.#excluded.add(chosen.id);
 			}
 
-			const stop = this.#mayRetry(next.reason);
+			const stop = await this.#waitApart(end, permit) ? this.#mayTryAgain(next.reason) : this.#mayRetry(next.reason, end);
 			if (stop !== undefined) {
 				return this.#settle(stop);
 			}
@@ -198,10 +203,39 @@
 		return this.#outcome === 'unknown' ? {...refusal, outcome: 'unknown'} : refusal;
 	}
 
-	/** Undefined if another attempt may be made. */
-	#mayRetry(reason: RetryReason): Refusal | undefined {
+	/**
+	 * A suspect that was refused because an endpoint runs another suspect waits and may use every endpoint again.
+	 *
+	 * @returns False if the attempt ended in another way.
+	 */
+	async #waitApart(end: AttemptEnd, permit: Permit): Promise<boolean> {
+		if (!permit.held || end.kind !== 'refused' || end.reason !== 'endpoint-full') {
+			return false;
+		}
+
+		this.#keptApart += 1;
+		this.#excluded.clear();
+		await sleep(SUSPECT_PAUSE_MS);
+		return true;
+	}
+
+	/** Undefined if another attempt may be made and the retry budget allows it. */
+	#mayRetry(reason: RetryReason, end: AttemptEnd): Refusal | undefined {
+		const stop = this.#mayTryAgain(reason);
+		// Resuming a stream costs its rest only, and giving up would waste what was generated. The requests of a
+		// crashed batch may be many times the budget; the quarantine bounds their runs instead.
+		const crashed = end.kind === 'failed' && end.crashId !== '';
+		if (stop !== undefined || this.#options.answer.streaming || crashed || this.#context.budget.takeRetry(Date.now())) {
+			return stop;
+		}
+
+		return refuse('retry-budget', 'not-run', `the entry's retry budget is spent; the last attempt ended with ${reason}`, 1);
+	}
+
+	/** Undefined if the number of attempts and the deadline allow another attempt. */
+	#mayTryAgain(reason: RetryReason): Refusal | undefined {
 		const now = Date.now();
-		if (this.#attempts >= MAX_ATTEMPTS && !this.#options.answer.streaming) {
+		if (this.#attempts - this.#keptApart >= MAX_ATTEMPTS && !this.#options.answer.streaming) {
 			return refuse('no-endpoint', 'not-run', `no endpoint finished the request in ${MAX_ATTEMPTS} attempts; the last ended with ${reason}`);
 		}
 
@@ -209,11 +243,6 @@
 			return refuse('deadline', 'not-run', 'the deadline passed before an endpoint answered');
 		}
 
-		// Resuming a stream costs its rest only, and giving up would waste what was generated.
-		if (!this.#options.answer.streaming && !this.#context.budget.takeRetry(now)) {
-			return refuse('retry-budget', 'not-run', `the entry's retry budget is spent; the last attempt ended with ${reason}`, 1);
-		}
-
 		return undefined;
 	}
 
