Report a crash through a second entry as well

Cause: only the entry that sent a request reported its crash. When that entry died between the crash and its report, the crash was not counted, its permission stayed, and the resent request crashed a fourth engine.

Change: the endpoint also asks another linked entry to report the crash to the homes, which count a crash id once.

Ruled out: a report only when the link is closed, since a paused entry's link is open.

--- a/packages/endpoint/src/endpoint.ts
+++ b/packages/endpoint/src/endpoint.ts
@@ -6,6 +6,7 @@
 import {once} from 'node:events';
 import {setInterval} from 'node:timers/promises';
 import {GroupAgent} from './group-agent.js';
+import {reportElsewhere} from './crash-report.js';
 import {CrashWindow} from './crash-window.js';
 import {Intake, type Job} from './intake.js';
 import {LoadMonitor} from './load-monitor.js';
@@ -346,6 +347,10 @@
 		const crashed = loss.kind === 'crash' && work.target === 'model';
 		this.#options.metrics.count('crashes', crashed ? 'engine' : 'connection');
 		this.#log.warn('back end lost a request', {requestId: work.requestId, crashed, ...(crashed ? {crashId: loss.crashId, alone: loss.alone} : {})});
+		if (crashed) {
+			void reportElsewhere(this.#options.peering.pool, link, {work, crashId: loss.crashId, alone: loss.alone});
+		}
+
 		link.send({
 			kind: 'failed',
 			requestId: work.requestId,
--- a/packages/entry/src/suspects.ts
+++ b/packages/entry/src/suspects.ts
@@ -36,6 +36,10 @@
 	z.object({
 		kind: z.literal('crash'), fingerprint, permitId: id, crashId: id, alone: z.boolean(),
 	}),
+	// From an endpoint, about a request that another entry sent.
+	z.object({
+		kind: z.literal('crashed'), fingerprint, permitId: id, crashId: id, alone: z.boolean(),
+	}),
 	z.object({
 		kind: z.literal('end'), fingerprint, permitId: id, how: z.enum(['finished', 'not-run', 'cancelled']),
 	}),
@@ -214,6 +218,11 @@
 				return {kind: 'noted'};
 			}
 
+			case 'crashed': {
+				await this.reportCrash(question.fingerprint, question.permitId, {crashId: question.crashId, alone: question.alone});
+				return {kind: 'noted'};
+			}
+
 			case 'end': {
 				const changed = this.#registry.end(question, now);
 				await this.#replicate(changed === undefined ? [] : [changed]);
