--- a/packages/coordination/__tests__/unit/claim-store.test.ts
+++ b/packages/coordination/__tests__/unit/claim-store.test.ts
@@ -133,11 +133,11 @@
 	for (const [name, fault, kind] of cases) {
 		const store = MemoryStore.create();
 		const claims = createStore(store.client('a'), {headLimitBytes: 10});
-		await run(claims, claims.claim(request('c1'), 0)); // eslint-disable-line no-await-in-loop
-		await run(claims, claims.claim(request('c2'), 0)); // eslint-disable-line no-await-in-loop
-		await run(claims, claims.release(key, 'c3', 0)); // eslint-disable-line no-await-in-loop
+		await run(claims, claims.claim(request('c1'), 0));
+		await run(claims, claims.claim(request('c2'), 0));
+		await run(claims, claims.release(key, 'c3', 0));
 		fault(store);
-		t.match(await run(claims, claims.claim(request('c4'), 0)), {kind: 'unavailable', recorded: 'no', failure: {kind}}, name); // eslint-disable-line no-await-in-loop
+		t.match(await run(claims, claims.claim(request('c4'), 0)), {kind: 'unavailable', recorded: 'no', failure: {kind}}, name);
 	}
 });
 
@@ -149,7 +149,7 @@
 	const claim = claims.claim(request('c1'), 0);
 	const windows: Array<number | undefined> = [];
 	for (let now = 50; claims.nextFlushAt !== undefined; now = claims.nextFlushAt ?? 0) {
-		await claims.flush(now); // eslint-disable-line no-await-in-loop
+		await claims.flush(now);
 		windows.push(claims.nextFlushAt);
 		if (windows.length > 8) {
 			break;
--- a/packages/coordination/__tests__/unit/request-correlation.test.ts
+++ b/packages/coordination/__tests__/unit/request-correlation.test.ts
@@ -36,7 +36,7 @@
 		['altered answer of the same length', [head, chunk(0, 'axc'), end('abc')], {kind: 'corrupt', received: 3}],
 	];
 	for (const [name, frames, expected] of cases) {
-		const requests = await RequestCorrelation.create(); // eslint-disable-line no-await-in-loop
+		const requests = await RequestCorrelation.create();
 		requests.begin('r', {attempt: 1, source: 'x', mode: 'restart'});
 		const verdicts = frames.map(frame => requests.receive(frame));
 		t.match(verdicts.at(-1), expected, name);
@@ -56,7 +56,7 @@
 		['resume of another answer', 'resume', [chunk(3, 'de', 2), end('xyzde', 2)], 'abcde', 'corrupt'],
 	];
 	for (const [name, mode, frames, text, last] of cases) {
-		const requests = await RequestCorrelation.create(); // eslint-disable-line no-await-in-loop
+		const requests = await RequestCorrelation.create();
 		requests.begin('r', {attempt: 1, source: 'x', mode: 'restart'});
 		requests.receive(head);
 		requests.receive(chunk(0, 'abc'));
--- a/packages/coordination/__tests__/unit/versioned-config.fuzz.test.ts
+++ b/packages/coordination/__tests__/unit/versioned-config.fuzz.test.ts
@@ -126,7 +126,7 @@
 		for (const id of [0, 1]) {
 			if (world.pending[id] !== undefined) {
 				world.apply(id);
-				await settle(); // eslint-disable-line no-await-in-loop
+				await settle();
 				invariant(world.pending[id] === undefined, 'a change is unresolved although the store answers');
 			}
 		}
--- a/packages/expertmap/__tests__/unit/leader.test.ts
+++ b/packages/expertmap/__tests__/unit/leader.test.ts
@@ -11,6 +11,27 @@
 	epoch: 1, members: MEMBERS, step: 10, mapVersion: 1, prepared: [], fence: 5,
 };
 
+/** Members refuse to prepare and confirm every cancel. */
+function replyTo(message: MapMessage): MapMessage | undefined {
+	const {group, version, step, epoch, fence, kind} = message;
+	const header = {
+		group, version, step, epoch, fence,
+	};
+	if (kind === 'map-query') {
+		return {
+			...header, kind: 'map-state', round: message.round, state,
+		};
+	}
+
+	if (kind === 'map-prepare') {
+		return {
+			...header, kind: 'map-refused', of: 'prepare', reason: 'too-late',
+		};
+	}
+
+	return kind === 'map-cancel' ? {...header, kind: 'map-cancelled'} : undefined;
+}
+
 /** A leader whose members answer every message as given. */
 class Driver {
 	readonly planned: number[] = [];
@@ -48,33 +69,9 @@
 	}
 
 	#answer(from: string, message: MapMessage): void {
-		const {group, version, step, epoch, fence} = message;
-		const header = {
-			group, version, step, epoch, fence,
-		};
-		switch (message.kind) {
-			case 'map-query': {
-				this.run(this.leader.handle(from, {
-					...header, kind: 'map-state', round: message.round, state,
-				}, this.#now));
-
-				break;
-			}
-
-			case 'map-prepare': {
-				this.run(this.leader.handle(from, {
-					...header, kind: 'map-refused', of: 'prepare', reason: 'too-late',
-				}, this.#now));
-
-				break;
-			}
-
-			case 'map-cancel': {
-				this.run(this.leader.handle(from, {...header, kind: 'map-cancelled'}, this.#now));
-
-				break;
-			}
-		// No default
+		const reply = replyTo(message);
+		if (reply !== undefined) {
+			this.run(this.leader.handle(from, reply, this.#now));
 		}
 	}
 }
--- a/packages/platform/__tests__/unit/client.test.ts
+++ b/packages/platform/__tests__/unit/client.test.ts
@@ -73,7 +73,7 @@
 	t.equal(outcome(await client.create('b', 1, {signal})), 'unavailable none', 'aborted before it was sent');
 	server.setFaults({slowMs: 0});
 	for (const expected of ['missing', 'missing', 'missing', 'missing', 'unavailable none']) {
-		t.equal(outcome(await client.update('none', '1', 1)), expected, '429 after five writes'); // eslint-disable-line no-await-in-loop
+		t.equal(outcome(await client.update('none', '1', 1)), expected, '429 after five writes');
 	}
 
 	t.equal(server.calls.rateLimited, 1);
@@ -111,13 +111,13 @@
 				socket.end(text);
 			});
 		});
-		await new Promise<void>(resolve => { // eslint-disable-line no-await-in-loop
+		await new Promise<void>(resolve => {
 			server.listen(0, '127.0.0.1', resolve);
 		});
 		const client = PlatformClient.create({url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, key: 'x'});
-		t.equal(outcome(await client.update('a', '1', 1)), 'unavailable unknown', JSON.stringify(text)); // eslint-disable-line no-await-in-loop
-		t.equal(outcome(await client.read('a')), 'unavailable none', JSON.stringify(text)); // eslint-disable-line no-await-in-loop
-		await client.close(); // eslint-disable-line no-await-in-loop
+		t.equal(outcome(await client.update('a', '1', 1)), 'unavailable unknown', JSON.stringify(text));
+		t.equal(outcome(await client.read('a')), 'unavailable none', JSON.stringify(text));
+		await client.close();
 		server.close();
 	}
 });
--- a/packages/platform/src/follow.ts
+++ b/packages/platform/src/follow.ts
@@ -46,7 +46,7 @@
 		const events = progress.version === undefined
 			? listOnce(client, prefix, {options, progress})
 			: watchOnce(client, prefix, {options, progress, version: progress.version});
-		// eslint-disable-next-line no-await-in-loop -- each attempt starts where the one before ended.
+
 		for await (const event of events) {
 			yield event;
 			if (event.kind === 'lost') {
--- a/packages/standins-platform/__tests__/unit/platform-server.test.ts
+++ b/packages/standins-platform/__tests__/unit/platform-server.test.ts
@@ -43,7 +43,7 @@
 		['no key', call('GET', `${server.url}/apis/mimosamount/v1/objects/a`), 401],
 	];
 	for (const [name, answer, status] of cases) {
-		t.match(await answer, {status, body: {message: String}}, name); // eslint-disable-line no-await-in-loop
+		t.match(await answer, {status, body: {message: String}}, name);
 	}
 
 	t.match(await call('POST', `${server.url}/faults`, {slowMs: 5}), {status: 200, body: {slowMs: 5, down: false}}, 'other faults stay');
--- a/packages/standins-platform/src/memory-store.ts
+++ b/packages/standins-platform/src/memory-store.ts
@@ -99,7 +99,7 @@
 		const write = this.#waiting.findLastIndex(call => call.kind !== 'read' && call.kind !== 'list');
 		await this.step(Math.max(0, write), fate);
 		while (this.#waiting.length > 0) {
-			await this.step(0, 'refuse'); // eslint-disable-line no-await-in-loop
+			await this.step(0, 'refuse');
 		}
 	}
 
