--- a/packages/integration/__tests__/integration/crashing-requests.test.ts
+++ b/packages/integration/__tests__/integration/crashing-requests.test.ts
@@ -55,7 +55,7 @@
 
 /** Fingerprint as an entry makes it of a chat request with one user message. */
 function fingerprintOf(prompt: string): string {
-	return hashHex(`drafting|user\n${prompt}`);
+	return hashHex(`drafting|${prompt}`);
 }
 
 /** The entry that counts the crashes of the request. */
