Ask one peer for a new text, and keep no combined signals

Cause: an entry took 18.9 KB/s just after 100 processes had started: each new directory was asked of every peer that announced it. Every question to a home combined a signal with the link's, and Node 20 keeps that memory for as long as the link lives. Change: a version is asked of one peer and again after 500 ms; questions and dials use a timer and a listener; the quarantine's part of a request is a module of its own. Ruled out: a random delay before asking, which would slow every change.

--- a/packages/bench/src/control-part.ts
+++ b/packages/bench/src/control-part.ts
@@ -16,7 +16,9 @@
 const CHANGES = 5;
 /** Processes that start at once; more would only queue for the cores. */
 const START_BATCH = 10;
-const IDLE_SECONDS = 15;
+/** The directory still travels for some seconds after the last process has started. */
+const SETTLE_SECONDS = 20;
+const IDLE_SECONDS = 20;
 const MB = 1024 * 1024;
 
 type Run = {
@@ -130,6 +132,7 @@
 		context.log(`${processes} processes: in force after ${inForceMs.join(', ')} ms`);
 		const entries = fleet.entries.map(({daemon}) => daemon);
 		const endpoints = fleet.endpoints.map(({daemon}) => daemon);
+		await sleep(SETTLE_SECONDS * 1000);
 		const before = {entries: usageOf(entries), endpoints: usageOf(endpoints), calls: await platformCalls(fleet)};
 		await sleep(IDLE_SECONDS * 1000);
 		const after = {entries: usageOf(entries), endpoints: usageOf(endpoints), calls: await platformCalls(fleet)};
--- a/packages/entry/src/model-request.ts
+++ b/packages/entry/src/model-request.ts
@@ -12,13 +12,15 @@
 import {
 	refuse, type Outcome, type Refusal, type RefusalReason, type RetryReason,
 } from './refusal.js';
+import {
+	askPermit, reportRunEnd, type Permit, type SuspectRun,
+} from './suspect-run.js';
 import {type Suspects} from './suspects.js';
 import {type WorkspaceLimits} from './workspace-limits.js';
 import {type RetryBudget} from '#coordination';
 import {admit} from '#limits';
 import {type Peering} from '#peering';
 import {type MessageOf, type PeerLink} from '#protocol';
-import {type RunEnd} from '#quarantine';
 import {
 	type CandidateSource, type PrefixMemory, type Replica, type RouteRequest,
 } from '#routing';
@@ -84,15 +86,6 @@
 	readonly source: CandidateSource;
 };
 
-/** Permission for one attempt. */
-type Permit = {
-	readonly kind: 'permit';
-	readonly solo: MessageOf<'work'>['solo'];
-	readonly id: string;
-	/** True if a home holds the permission and must be told how the attempt ended. */
-	readonly held: boolean;
-};
-
 /** What follows an attempt that did not finish the request. */
 type Next
 	= | {readonly kind: 'retry'; readonly reason: RetryReason; readonly exclude: boolean}
@@ -152,13 +145,13 @@
 				return this.#settle(choice);
 			}
 
-			const permit = await this.#permit();
+			const permit = await askPermit(this.#context.suspects, this.#suspectRun());
 			if (permit.kind === 'refusal') {
 				return this.#settle(permit);
 			}
 
 			const end = await this.#try(choice, permit);
-			await this.#reportEnd(end, permit);
+			await reportRunEnd(this.#context.suspects, permit, end);
 			if (end.kind === 'done') {
 				answer.finish();
 				return {kind: 'done'};
@@ -256,6 +249,14 @@
 		return undefined;
 	}
 
+	/** The next attempt as the quarantine sees it. */
+	#suspectRun(): SuspectRun {
+		const {inference, requestId, deadline, signal} = this.#options;
+		return {
+			fingerprint: inference.fingerprint, permitId: `${requestId}/${this.#attempts + 1}`, deadline, signal,
+		};
+	}
+
 	#routeRequest(): RouteRequest {
 		const {inference, model} = this.#options;
 		const {machine} = this.#context.peering;
@@ -287,57 +288,6 @@
 		};
 	}
 
-	/** Permission for the next attempt: a suspect waits for its home's answer, everything else runs at once. */
-	async #permit(): Promise<Permit | Refusal> {
-		const {suspects} = this.#context;
-		const {inference, requestId, deadline, signal} = this.#options;
-		const id = `${requestId}/${this.#attempts + 1}`;
-		if (!suspects.isSuspect(inference.fingerprint)) {
-			return {
-				kind: 'permit', solo: 'shared', id, held: false,
-			};
-		}
-
-		while (!signal.aborted && Date.now() < deadline) {
-			const permission = await suspects.ask(inference.fingerprint, id);
-			switch (permission.kind) {
-				case 'run': {
-					return {
-						kind: 'permit', solo: permission.suspect ? 'no-other-suspect' : 'shared', id, held: true,
-					};
-				}
-
-				case 'run-alone': {
-					return {
-						kind: 'permit', solo: 'alone', id, held: true,
-					};
-				}
-
-				case 'wait': {
-					await sleep(permission.retryAfterMs);
-					break;
-				}
-
-				case 'refuse': {
-					return refuse('quarantined', 'not-run', 'requests like this one crashed several engines', (permission.untilMs - Date.now()) / 1000);
-				}
-			}
-		}
-
-		return refuse('deadline', 'not-run', 'the deadline passed while the request waited to run apart from others');
-	}
-
-	/** Tells the home how an attempt ended, before anything else is done for the request. */
-	async #reportEnd(end: AttemptEnd, permit: Permit): Promise<void> {
-		const {suspects} = this.#context;
-		const {fingerprint} = this.#options.inference;
-		if (end.kind === 'failed' && end.crashId !== '') {
-			await suspects.reportCrash(fingerprint, permit.id, {crashId: end.crashId, alone: end.alone});
-		} else if (permit.held) {
-			await suspects.reportEnd({fingerprint, permitId: permit.id, how: howEnded(end)});
-		}
-	}
-
 	async #try(chosen: Chosen, permit: Permit): Promise<AttemptEnd> {
 		const {replica} = chosen;
 		const {peering, fleet, attempts, metrics} = this.#context;
@@ -486,28 +436,6 @@
 	}
 }
 
-/** What the end of an attempt says about a suspect's run. */
-function howEnded(end: AttemptEnd): RunEnd['how'] {
-	switch (end.kind) {
-		case 'done': {
-			return 'finished';
-		}
-
-		case 'refused':
-		case 'not-sent': {
-			return 'not-run';
-		}
-
-		case 'failed':
-		case 'link-lost':
-		case 'silent':
-		case 'corrupt':
-		case 'cancelled': {
-			return 'cancelled';
-		}
-	}
-}
-
 function refusalToRetry(reason: string): RetryReason {
 	return reason === 'leaving' || reason === 'endpoint-full' ? reason : 'engine-refused';
 }
--- a/packages/peering/src/peering.ts
+++ b/packages/peering/src/peering.ts
@@ -23,6 +23,9 @@
 /** The traffic of the links is logged each so many rounds. */
 const TRAFFIC_ROUNDS = 5;
 
+/** A text that was asked for and did not come is asked for again after this time. */
+const ASK_AGAIN_MS = 500;
+
 /** A link that was not heard for this time is closed; it is longer than three slow heartbeats. */
 const SILENT_LINK_MS = 50_000;
 
@@ -78,6 +81,7 @@
 	readonly #log: Logger;
 	#round = 0;
 	#closedBytes = 0;
+	readonly #asked = new Map<'rules' | 'directory', {readonly version: number; readonly at: number}>();
 
 	private constructor(options: PeeringOptions) {
 		this.#options = options;
@@ -247,11 +251,11 @@
 
 	#onHeartbeat(link: PeerLink, message: MessageOf<'heartbeat'>): void {
 		const {rules, list, confirmedAt} = this.kernel.snapshot;
-		if (message.rulesVersion > rules.newest.version) {
+		if (message.rulesVersion > rules.newest.version && this.#mayAsk('rules', message.rulesVersion)) {
 			link.send({kind: 'textWant', topic: 'rules', have: rules.newest.version});
 		}
 
-		if (message.directoryVersion > list.newest.version) {
+		if (message.directoryVersion > list.newest.version && this.#mayAsk('directory', message.directoryVersion)) {
 			link.send({kind: 'textWant', topic: 'directory', have: list.newest.version});
 		}
 
@@ -261,6 +265,21 @@
 		}
 	}
 
+	/**
+	 * True if a text should be asked for now. All peers announce a new version at once; asking each
+	 * of them would bring the same text as many times as there are links.
+	 */
+	#mayAsk(topic: 'rules' | 'directory', version: number): boolean {
+		const asked = this.#asked.get(topic);
+		const now = Date.now();
+		if (asked !== undefined && asked.version >= version && now - asked.at < ASK_AGAIN_MS) {
+			return false;
+		}
+
+		this.#asked.set(topic, {version, at: now});
+		return true;
+	}
+
 	#onText(link: PeerLink, message: MessageOf<'text'>): void {
 		const history = message.topic === 'rules' ? this.kernel.snapshot.rules : this.kernel.snapshot.list;
 		const result = history.apply(message);
--- a/packages/protocol/src/dial-peer.ts
+++ b/packages/protocol/src/dial-peer.ts
@@ -31,11 +31,16 @@
 export async function dialPeer(options: DialOptions): Promise<PeerLink> {
 	const {address, sharedKey, identity, onRefused} = options;
 	const socket = new WebSocket(`ws://${address}`, {maxPayload: MAX_MESSAGE_BYTES, perMessageDeflate: false, handshakeTimeout: DIAL_LIMIT_MS});
-	const limit = AbortSignal.any([options.signal, AbortSignal.timeout(DIAL_LIMIT_MS)]);
 	return new Promise((resolve, reject) => {
+		// Separate timer and listener: Node 20 keeps the memory of combined signals.
+		const release = () => {
+			clearTimeout(timer);
+			options.signal.removeEventListener('abort', onLimit);
+		};
+
 		let handshake: ReturnType<typeof answerChallenge> | undefined;
 		const fail = (error: Error) => {
-			limit.removeEventListener('abort', onLimit);
+			release();
 			socket.terminate();
 			reject(error);
 		};
@@ -53,7 +58,7 @@
 				}
 
 				const welcome = checkWelcome(toBytes(data), handshake.challenge, handshake.hello, sharedKey);
-				limit.removeEventListener('abort', onLimit);
+				release();
 				socket.off('message', onMessage);
 				socket.off('close', onClose);
 				const session = Session.create(sharedKey, handshake.challenge, handshake.hello, 'dialled');
@@ -73,7 +78,8 @@
 			fail(new UnavailableError(`peer ${address} closed the connection during the handshake`));
 		};
 
-		limit.addEventListener('abort', onLimit, {once: true});
+		const timer = setTimeout(onLimit, DIAL_LIMIT_MS);
+		options.signal.addEventListener('abort', onLimit, {once: true});
 		socket.on('error', error => {
 			fail(new UnavailableError(`peer ${address}: ${error.message}`));
 		});
--- a/packages/protocol/src/link-pool.ts
+++ b/packages/protocol/src/link-pool.ts
@@ -152,17 +152,21 @@
 	async ask(link: PeerLink, topic: string, payload: unknown, limitMs = ASK_LIMIT_MS): Promise<unknown> {
 		this.#askId += 1;
 		const id = this.#askId;
-		const limit = AbortSignal.any([link.closed, AbortSignal.timeout(limitMs)]);
 		return new Promise((resolve, reject) => {
+			// Node 20 keeps the memory of a combined signal for as long as the link lives, so timer and listener are separate.
 			const onLimit = () => {
+				clearTimeout(timer);
+				link.closed.removeEventListener('abort', onLimit);
 				this.#pending.delete(id);
 				reject(new UnavailableError(`no answer from ${link.peer.id} to ${topic}`));
 			};
 
-			limit.addEventListener('abort', onLimit, {once: true});
+			const timer = setTimeout(onLimit, limitMs);
+			link.closed.addEventListener('abort', onLimit, {once: true});
 			this.#pending.set(id, {
 				resolve(answer) {
-					limit.removeEventListener('abort', onLimit);
+					clearTimeout(timer);
+					link.closed.removeEventListener('abort', onLimit);
 					resolve(answer);
 				},
 				reject,
