Format addresses in one place and drop an unused listener

Cause: the read-through found formatAddress written twice, word for word, and a method of Peering that nobody calls. Change: the daemon uses the one of settings; registerRulesListener is gone. Ruled out: joining the attempt loops of model and service requests now, since they differ in what follows an unknown outcome and need a full run of the process tests.

--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -9,7 +9,7 @@
 import {type Machine} from '#membership';
 import {Peering, PlatformWatch} from '#peering';
 import {PlatformClient} from '#platform';
-import {type Address, type Keys, type Settings} from '#settings';
+import {formatAddress, type Keys, type Settings} from '#settings';
 import {createLogger, Metrics, type Logger} from '#telemetry';
 
 /** Parts of a daemon by name. */
@@ -25,11 +25,6 @@
 	readonly platformWatch: Promise<PlatformWatch>;
 };
 
-/** Writes an address as `IP:port`, IPv6 in brackets. */
-export function formatAddress({host, port}: Address): string {
-	return host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`;
-}
-
 /** The machine that the settings describe. */
 export function describeMachine(settings: Settings): Machine {
 	const base = {
--- a/packages/peering/src/peering.ts
+++ b/packages/peering/src/peering.ts
@@ -4,7 +4,7 @@
  * kernel; the roles listen to it.
  */
 import {setInterval} from 'node:timers/promises';
-import {Kernel, type Teardown, mergeTeardowns} from '#core';
+import {Kernel} from '#core';
 import {
 	Directory, neighboursOf, parseMachine, parseMachines, readinessOf, TextHistory, type Machine, type Readiness, type SourceState,
 } from '#membership';
@@ -130,15 +130,6 @@
 		return readinessOf(this.kernel.snapshot);
 	}
 
-	/** Registers a listener that runs when the rules change, with the rule set now in force. */
-	registerRulesListener(listener: (ruleSet: RuleSet) => void): Teardown {
-		return mergeTeardowns(this.kernel.registerUpdateListener((next, prev) => {
-			if (next.ruleSet !== prev.ruleSet) {
-				listener(next.ruleSet);
-			}
-		}));
-	}
-
 	/**
 	 * Takes in rules. Rules that are not newer change nothing; rules that this version
 	 * cannot read are logged and kept out, and the rules in force stay.
