--- a/packages/bench/src/control-part.ts
+++ b/packages/bench/src/control-part.ts
@@ -59,7 +59,7 @@
 	const fleet = await TestFleet.create();
 	await fleet.putRules(1, rulesText(1));
 	const entries = Math.max(2, Math.round(processes * ENTRY_SHARE));
-	const backend = await Child.create('service', 'dist/standins-service/src/bin.js', []);
+	const backend = await Child.create('service', 'target/packages/standins-service/src/bin.js', []);
 	fleet.own(backend);
 	const starts = [
 		...Array.from({length: entries}, (_, i) => async () => fleet.addEntry({zone: `zone-${i % 3}`})),
--- a/packages/cli/__tests__/unit/command-line.test.ts
+++ b/packages/cli/__tests__/unit/command-line.test.ts
@@ -64,9 +64,9 @@
 	const dir = mkdtempSync(path.join(tmpdir(), 'mimosamount-'));
 	const file = path.join(dir, 'a.rules');
 	writeFileSync(file, 'zone a\n');
-	const broken = spawnSync(process.execPath, ['dist/cli/src/bin.js', 'rules', 'check', file], {encoding: 'utf8'});
+	const broken = spawnSync(process.execPath, ['target/packages/cli/src/bin.js', 'rules', 'check', file], {encoding: 'utf8'});
 	t.match(broken, {status: 2, stdout: '', stderr: /a\.rules:1:7/u});
-	const version = spawnSync(process.execPath, ['dist/cli/src/bin.js', '--version'], {encoding: 'utf8'});
+	const version = spawnSync(process.execPath, ['target/packages/cli/src/bin.js', '--version'], {encoding: 'utf8'});
 	t.match(version, {status: 0, stdout: /^mimosamount \d+\.\d+\.\d+\n$/u, stderr: ''});
 	rmSync(dir, {recursive: true});
 	t.end();
--- a/packages/cli/src/drain-commands.ts
+++ b/packages/cli/src/drain-commands.ts
@@ -12,7 +12,7 @@
 	appendRule, endpointState, isName, nameAllowed, parseRules, removeLines, targetKey, targetKinds, targetState,
 	type AccessRule, type RuleSet, type Target,
 } from '#rules';
-import type {PlatformClient} from '#platform';
+import type {PlatformClient} from '#object-api';
 import type {ConfigVersion} from '#coordination';
 
 // Drains of several targets at once conflict with one another; each conflict means that another one got through.
--- a/packages/cli/src/rules-store.ts
+++ b/packages/cli/src/rules-store.ts
@@ -6,7 +6,7 @@
 } from './context.js';
 import {readKey, readOrigin} from './input-file.js';
 import {toPlain} from './table.js';
-import {PlatformClient} from '#platform';
+import {PlatformClient} from '#object-api';
 import type {Result} from '#core';
 import {
 	VersionedConfig, type ApplyAnswer, type ConfigReadFailure, type ConfigVersion, type ConfigWrite, type ObjectStore,
--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -8,7 +8,7 @@
 } from 'awilix';
 import {type Machine} from '#membership';
 import {Peering, PlatformWatch} from '#peering';
-import {PlatformClient} from '#platform';
+import {PlatformClient} from '#object-api';
 import {formatAddress, type Keys, type Settings} from '#settings';
 import {createLogger, Metrics, type Logger} from '#telemetry';
 
--- /dev/null
+++ b/packages/dispatch/src/placement.ts
@@ -0,0 +1,58 @@
+/**
+ * Chooses the endpoint of one attempt. Answers the load of groups that run in lock-step, where
+ * the fullest rank sets the pace of all, and of plain services with few slots: the endpoint with
+ * the smallest share of its slots taken is chosen, counting the requests of all entries.
+ */
+
+/** An endpoint that an attempt may go to. */
+export type Candidate = {
+	readonly id: string;
+	/** Requests that run at once. */
+	readonly slots: number;
+	/** Requests there from all entries, as far as known. */
+	readonly inFlight: number;
+	/** Share of its latest attempts that failed, in [0, 1]. */
+	readonly failureRatio: number;
+	/** Whether it failed or was full a moment ago. */
+	readonly isAvoided: boolean;
+};
+
+/** Failure ratio below which endpoints count as equally sound: services fail some requests everywhere. */
+const TOLERATED_FAILURE_RATIO = 0.3;
+
+/** A failing endpoint counts as if this many times its slots were taken, in proportion to its failure ratio. */
+const FAILURE_PENALTY = 3;
+
+/** Cost of a candidate; lower is better. */
+function costOf(candidate: Candidate): number {
+	const excess = Math.max(0, candidate.failureRatio - TOLERATED_FAILURE_RATIO);
+	return ((candidate.inFlight + 1) / Math.max(1, candidate.slots)) + (excess * FAILURE_PENALTY);
+}
+
+/**
+ * Picks the cheapest candidate, at random among equals. Avoided ones are picked only if there is no other.
+ *
+ * @param random - In [0, 1).
+ */
+export function choosePlace(candidates: readonly Candidate[], random: () => number): Candidate | undefined {
+	const sound = candidates.filter(candidate => !candidate.isAvoided);
+	const pool = sound.length > 0 ? sound : candidates;
+	let best: Candidate | undefined;
+	let bestCost = Number.POSITIVE_INFINITY;
+	let equals = 0;
+	for (const candidate of pool) {
+		const cost = costOf(candidate);
+		if (cost < bestCost - 1e-9) {
+			best = candidate;
+			bestCost = cost;
+			equals = 1;
+		} else if (cost <= bestCost + 1e-9) {
+			equals += 1;
+			if (random() * equals < 1) {
+				best = candidate;
+			}
+		}
+	}
+
+	return best;
+}
--- /dev/null
+++ b/packages/gateway/src/connection-pool.ts
@@ -0,0 +1,142 @@
+/** Connections to endpoints: one request at a time on each, kept while they are certainly clean. */
+import {connect, type Socket} from 'node:net';
+
+/** Result of opening a connection. */
+export type OpenedConnection
+	= | {readonly kind: 'connected'; readonly socket: Socket; readonly isReused: boolean}
+		| {readonly kind: 'failed'; readonly reason: string};
+
+/** Where to connect. */
+export type ConnectionTarget = {
+	readonly id: string;
+	/** `HOST:PORT`. */
+	readonly address: string;
+};
+
+/** Longest time to establish a connection, in ms: two round trips across zones and a lost packet's first retransmission. */
+const CONNECT_TIMEOUT_MS = 400;
+
+/** Longest time that a connection is kept idle, in ms; endpoints drop idle connections at times of their own, so old ones are not worth the risk. */
+const LONGEST_IDLE_MS = 4000;
+
+/** A connection is given up this long before the endpoint's announced idle timeout, in ms, so that no request crosses its close. */
+const IDLE_MARGIN_MS = 700;
+
+type Idle = {readonly socket: Socket; readonly address: string; readonly until: number; readonly drop: () => void};
+
+export class ConnectionPool {
+	/** @param now - Steady clock in ms. */
+	static create(now: () => number, signal: AbortSignal): ConnectionPool {
+		return new ConnectionPool(now, signal);
+	}
+
+	readonly #now: () => number;
+	readonly #idle = new Map<string, Idle[]>();
+	opened = 0;
+	reused = 0;
+
+	private constructor(now: () => number, signal: AbortSignal) {
+		this.#now = now;
+		signal.addEventListener('abort', () => {
+			for (const id of this.#idle.keys()) {
+				this.drop(id);
+			}
+		}, {once: true});
+	}
+
+	/**
+	 * Takes a kept connection or makes a new one.
+	 *
+	 * @param isFresh - Always makes a new one: a kept connection may be closing while the request is on its way.
+	 */
+	async open(target: ConnectionTarget, {isFresh, timeoutMs}: {readonly isFresh: boolean; readonly timeoutMs: number}): Promise<OpenedConnection> {
+		const kept = isFresh ? undefined : this.#takeIdle(target);
+		if (kept !== undefined) {
+			this.reused += 1;
+			return {kind: 'connected', socket: kept, isReused: true};
+		}
+
+		this.opened += 1;
+		return connectTo(target.address, Math.max(1, Math.min(timeoutMs, CONNECT_TIMEOUT_MS)));
+	}
+
+	/** Keeps a connection whose answer was complete. `keepAliveMs` is the idle timeout that the endpoint announced. */
+	keep(target: ConnectionTarget, socket: Socket, keepAliveMs: number | undefined): void {
+		const idleMs = Math.min(LONGEST_IDLE_MS, (keepAliveMs ?? LONGEST_IDLE_MS) - IDLE_MARGIN_MS);
+		if (socket.destroyed || !socket.writable || idleMs <= 0 || socket.readableLength > 0) {
+			socket.destroy();
+			return;
+		}
+
+		const list = this.#idle.get(target.id) ?? [];
+		const drop = () => {
+			socket.destroy();
+			const at = list.findIndex(idle => idle.socket === socket);
+			if (at !== -1) {
+				list.splice(at, 1);
+			}
+		};
+
+		// Whatever arrives on an idle connection belongs to no request.
+		socket.on('data', drop).once('end', drop).once('error', drop);
+		socket.setTimeout(idleMs, drop);
+		list.push({
+			socket, address: target.address, until: this.#now() + idleMs, drop,
+		});
+		this.#idle.set(target.id, list);
+	}
+
+	/** Closes the kept connections of an endpoint. */
+	drop(id: string): void {
+		const list = this.#idle.get(id) ?? [];
+		this.#idle.delete(id);
+		for (const idle of [...list]) {
+			idle.drop();
+		}
+	}
+
+	#takeIdle(target: ConnectionTarget): Socket | undefined {
+		const list = this.#idle.get(target.id);
+		for (let idle = list?.pop(); idle !== undefined; idle = list?.pop()) {
+			const {socket, drop} = idle;
+			socket.off('data', drop).off('end', drop).off('error', drop);
+			socket.setTimeout(0);
+			if (!socket.destroyed && idle.address === target.address && idle.until > this.#now()) {
+				return socket;
+			}
+
+			socket.destroy();
+		}
+
+		return undefined;
+	}
+}
+
+async function connectTo(address: string, timeoutMs: number): Promise<OpenedConnection> {
+	const colon = address.lastIndexOf(':');
+	const socket = connect({host: address.slice(0, colon), port: Number(address.slice(colon + 1)), noDelay: true});
+	return new Promise(resolve => {
+		const finish = (result: OpenedConnection) => {
+			clearTimeout(timer);
+			socket.removeAllListeners('error').removeAllListeners('connect');
+			if (result.kind === 'failed') {
+				socket.on('error', () => {
+					// The outcome is already told; the socket is on its way out.
+				});
+				socket.destroy();
+			}
+
+			resolve(result);
+		};
+
+		const timer = setTimeout(() => {
+			finish({kind: 'failed', reason: 'connect timeout'});
+		}, timeoutMs);
+		socket.once('connect', () => {
+			finish({kind: 'connected', socket, isReused: false});
+		});
+		socket.once('error', err => {
+			finish({kind: 'failed', reason: (err as NodeJS.ErrnoException).code ?? err.message});
+		});
+	});
+}
--- /dev/null
+++ b/packages/gateway/src/events.ts
@@ -0,0 +1,199 @@
+/**
+ * Everything that an entry reports: one event, one log line, its counters. Routine lines are
+ * limited to a rate; failures and changes of belief have a larger one, and what was left out is counted.
+ */
+import type {Metrics, Logger} from '#telemetry';
+import type {RefusalReason} from './refusals.js';
+
+/** Inputs of a decision on a request. */
+export type RequestFacts = {
+	readonly requestId: string;
+	readonly route: string | undefined;
+	readonly workspace: string | undefined;
+	readonly configVersion: number | undefined;
+	/** Age of the configuration's confirmation, in ms. */
+	readonly configAgeMs: number | undefined;
+	readonly attempts: number;
+	readonly elapsedMs: number;
+};
+
+export type EntryEvent
+	= | {readonly kind: 'answered'; readonly facts: RequestFacts; readonly endpoint: string; readonly status: number; readonly firstByteMs: number}
+		| {readonly kind: 'refused'; readonly facts: RequestFacts; readonly reason: RefusalReason; readonly status: number; readonly retryAfterS: number | undefined; readonly detail: string | undefined}
+		| {readonly kind: 'cut'; readonly facts: RequestFacts; readonly endpoint: string; readonly reason: string; readonly lastEventId: number | undefined}
+		| {readonly kind: 'caller-left'; readonly facts: RequestFacts}
+		| {readonly kind: 'attempt-failed'; readonly requestId: string; readonly attempt: number; readonly endpoint: string; readonly outcome: string; readonly detail: string; readonly inFlight: number; readonly willRetry: boolean}
+		| {readonly kind: 'configuration'; readonly version: number; readonly source: string; readonly routes: number; readonly workspaces: number}
+		| {readonly kind: 'endpoint'; readonly id: string; readonly service: string; readonly change: string; readonly source: string}
+		| {readonly kind: 'dependency'; readonly dependency: string; readonly isReachable: boolean; readonly detail: string}
+		| {readonly kind: 'skipped-input'; readonly where: string; readonly detail: string}
+		| {readonly kind: 'lifecycle'; readonly step: string; readonly detail: Readonly<Record<string, unknown>>};
+
+/** Lines a second for events that end well; a full entry has about 30 requests a second. */
+const ROUTINE_LINES_PER_S = 40;
+
+/** Lines a second for failures and changes of belief. */
+const NOTABLE_LINES_PER_S = 200;
+
+/** Counts lines of the current second. */
+class LineRate {
+	#second = 0;
+	#lines = 0;
+	dropped = 0;
+
+	constructor(readonly limit: number) {}
+
+	take(now: number): boolean {
+		const second = Math.floor(now / 1000);
+		if (second !== this.#second) {
+			this.#second = second;
+			this.#lines = 0;
+		}
+
+		this.#lines += 1;
+		if (this.#lines > this.limit) {
+			this.dropped += 1;
+			return false;
+		}
+
+		return true;
+	}
+}
+
+export class EntryJournal {
+	/** @param now - Steady clock in ms. */
+	static create(logger: Logger, metrics: Metrics, now: () => number): EntryJournal {
+		return new EntryJournal(logger, metrics, now);
+	}
+
+	readonly #routine = new LineRate(ROUTINE_LINES_PER_S);
+	readonly #notable = new LineRate(NOTABLE_LINES_PER_S);
+	#told = 0;
+
+	private constructor(private readonly logger: Logger, private readonly metrics: Metrics, private readonly now: () => number) {}
+
+	/** Writes one event's line and counts it. */
+	record(event: EntryEvent): void {
+		this.#count(event);
+		const rate = event.kind === 'answered' || event.kind === 'caller-left' ? this.#routine : this.#notable;
+		if (!rate.take(this.now())) {
+			return;
+		}
+
+		this.#write(event);
+		const dropped = this.#routine.dropped + this.#notable.dropped;
+		if (dropped > this.#told) {
+			this.logger.warn('lines were left out to keep to the rate', {lines: dropped - this.#told});
+			this.#told = dropped;
+		}
+	}
+
+	#count(event: EntryEvent): void {
+		switch (event.kind) {
+			case 'answered': {
+				this.metrics.count('answers', `${Math.floor(event.status / 100)}xx`);
+				this.metrics.record('firstByte', event.firstByteMs);
+				this.metrics.record('total', event.facts.elapsedMs);
+				return;
+			}
+
+			case 'refused': {
+				this.metrics.count('refusals', event.reason);
+				this.metrics.count('answers', `${Math.floor(event.status / 100)}xx`);
+				return;
+			}
+
+			case 'cut': {
+				this.metrics.count('refusals', `cut-${event.reason}`);
+				return;
+			}
+
+			case 'caller-left': {
+				this.metrics.count('refusals', 'caller-left');
+				return;
+			}
+
+			case 'attempt-failed': {
+				this.metrics.count(event.willRetry ? 'retries' : 'crashes', event.outcome);
+				return;
+			}
+
+			case 'configuration': {
+				this.metrics.count('configChanges', event.source);
+				return;
+			}
+
+			case 'dependency': {
+				this.metrics.count('platformFailures', `${event.dependency}-${event.isReachable ? 'regained' : 'lost'}`);
+				return;
+			}
+
+			case 'endpoint':
+			case 'skipped-input':
+			case 'lifecycle':
+		}
+	}
+
+	#write(event: EntryEvent): void {
+		switch (event.kind) {
+			case 'answered': {
+				this.logger.info('request answered', {
+					...event.facts, endpoint: event.endpoint, status: event.status, firstByteMs: Math.round(event.firstByteMs),
+				});
+				return;
+			}
+
+			case 'refused': {
+				this.logger.info('request refused', {
+					...event.facts, reason: event.reason, status: event.status, retryAfterS: event.retryAfterS, detail: event.detail,
+				});
+				return;
+			}
+
+			case 'cut': {
+				this.logger.warn('answer cut off', {
+					...event.facts, endpoint: event.endpoint, reason: event.reason, lastEventId: event.lastEventId,
+				});
+				return;
+			}
+
+			case 'caller-left': {
+				this.logger.info('caller left', event.facts);
+				return;
+			}
+
+			case 'attempt-failed': {
+				const {kind, ...fields} = event;
+				this.logger.info('attempt failed', fields);
+				return;
+			}
+
+			case 'configuration': {
+				const {kind, ...fields} = event;
+				this.logger.info('configuration in force', fields);
+				return;
+			}
+
+			case 'endpoint': {
+				const {kind, ...fields} = event;
+				this.logger.info(`endpoint ${event.change}`, fields);
+				return;
+			}
+
+			case 'dependency': {
+				const {kind, ...fields} = event;
+				this.logger.warn(event.isReachable ? 'dependency regained' : 'dependency lost', fields);
+				return;
+			}
+
+			case 'skipped-input': {
+				this.logger.warn('input skipped', {where: event.where, detail: event.detail});
+				return;
+			}
+
+			case 'lifecycle': {
+				this.logger.info(event.step, event.detail);
+			}
+		}
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/exchange.ts
@@ -0,0 +1,101 @@
+/** One request and its answer on one connection to an endpoint. */
+import {request, type ClientRequest, type IncomingMessage} from 'node:http';
+import type {Socket} from 'node:net';
+import type {ConnectionPool, ConnectionTarget} from './connection-pool.js';
+
+/** The head of an answer, or why there is none. */
+export type ExchangeHead
+	= | {readonly kind: 'head'; readonly res: IncomingMessage}
+		| {readonly kind: 'broken'; readonly reason: string};
+
+/** A request to send. */
+export type OutgoingRequest = {
+	readonly method: string;
+	readonly path: string;
+	readonly headers: readonly string[];
+	readonly body: Uint8Array;
+};
+
+export class Exchange {
+	/** Sends a request on an open connection. */
+	static create(target: ConnectionTarget, socket: Socket, pool: ConnectionPool, outgoing: OutgoingRequest): Exchange {
+		return new Exchange(target, socket, pool, outgoing);
+	}
+
+	/** Settles with the head of the answer, or when the connection breaks before it. Never rejects. */
+	readonly head: Promise<ExchangeHead>;
+	readonly #req: ClientRequest;
+	readonly #socket: Socket;
+	#isSpoiled = false;
+
+	private constructor(target: ConnectionTarget, socket: Socket, pool: ConnectionPool, outgoing: OutgoingRequest) {
+		this.#socket = socket;
+		this.#req = request({
+			method: outgoing.method,
+			path: outgoing.path,
+			// Node accepts names and values in turn, which keeps order and spelling; its types do not know.
+			headers: [...outgoing.headers, 'Connection', 'keep-alive'] as unknown as Record<string, string>,
+			createConnection: () => socket,
+			setHost: false,
+		});
+		// Without an agent Node would close the connection after the answer; the pool decides that here.
+		this.#req.shouldKeepAlive = true;
+		this.head = new Promise(resolve => {
+			let answer: IncomingMessage | undefined;
+			this.#req.once('response', res => {
+				answer = res;
+				resolve({kind: 'head', res});
+			});
+			this.#req.on('error', err => {
+				this.#isSpoiled = true;
+				resolve({kind: 'broken', reason: (err as NodeJS.ErrnoException).code ?? err.message});
+			});
+			this.#req.once('close', () => {
+				resolve({kind: 'broken', reason: 'closed'});
+				const isClean = answer?.complete === true && this.#req.shouldKeepAlive && this.#req.writableFinished && !this.#isSpoiled;
+				if (isClean) {
+					pool.keep(target, socket, announcedIdleMs(answer?.headers['keep-alive']));
+				} else {
+					socket.destroy();
+				}
+			});
+		});
+		this.#req.end(outgoing.body);
+	}
+
+	/** Breaks the connection off; the endpoint drops the request. */
+	abort(): void {
+		this.#isSpoiled = true;
+		this.#req.destroy();
+		this.#socket.destroy();
+	}
+}
+
+function announcedIdleMs(keepAlive: string | string[] | undefined): number | undefined {
+	const seconds = /timeout=(\d+)/u.exec(String(keepAlive ?? ''))?.[1];
+	return seconds === undefined ? undefined : Number(seconds) * 1000;
+}
+
+/** Reads a whole body. Returns undefined if it breaks off, or exceeds `maxBytes`. */
+export async function readWhole(res: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
+	const chunks: Buffer[] = [];
+	let bytes = 0;
+	return new Promise(resolve => {
+		res.on('data', (chunk: Buffer) => {
+			chunks.push(chunk);
+			bytes += chunk.length;
+			if (bytes > maxBytes) {
+				res.destroy();
+			}
+		});
+		res.once('end', () => {
+			resolve(res.complete ? Buffer.concat(chunks) : undefined);
+		});
+		res.on('error', () => {
+			// `close` follows and settles the promise.
+		});
+		res.once('close', () => {
+			resolve(undefined);
+		});
+	});
+}
--- /dev/null
+++ b/packages/gateway/src/request-flow.ts
@@ -0,0 +1,450 @@
+/**
+ * The way of one request: what the configuration allows, then attempts until an answer is complete.
+ * What may be sent again follows from the route alone. The loop stands once, for plain answers and streams.
+ */
+import {runAttempt, type AttemptEnd} from './attempt.js';
+import type {CallerReply} from './caller-reply.js';
+import type {ConnectionPool} from './connection-pool.js';
+import type {CallerRequest, Dialect} from './dialect.js';
+import type {EntryJournal, RequestFacts} from './events.js';
+import {refusalOf, retryAfterSeconds, type RefusalReason} from './refusals.js';
+import {relayStream, type StreamEnd} from './stream-relay.js';
+import type {RetryBudget} from '#coordination';
+import {unreachable} from '#core';
+import {
+	choosePlace, pickService, type AttemptOutcome, type Candidate, type ConfigHolder, type EndpointDirectory, type EndpointHealth, type EndpointRecord, type FleetConfig, type Instant, type LoadBoard, type Route,
+} from '#dispatch';
+
+/** What the flow of all requests shares. */
+export type FlowParts = {
+	readonly config: ConfigHolder;
+	readonly directory: EndpointDirectory;
+	readonly health: EndpointHealth;
+	readonly load: LoadBoard;
+	readonly pool: ConnectionPool;
+	readonly dialect: Dialect;
+	readonly journal: EntryJournal;
+	/** Retries that this entry may send to a service. */
+	readonly budgetOf: (service: string) => RetryBudget;
+	/** Age of the configuration from which keys are no longer trusted, in ms; undefined if keys may be trusted for ever. */
+	readonly keyTrustMs: number | undefined;
+	readonly now: () => Instant;
+	readonly random: () => number;
+};
+
+/** A failed connection costs nothing, but each takes time; after so many the caller is told to come back. */
+const MAX_CONNECT_FAILURES = 3;
+
+/** The endpoint gets this much less time than the entry has, in ms, so that its own answer at the deadline still arrives. */
+const DEADLINE_MARGIN_MS = 15;
+
+/** An attempt needs this much time to be worth sending, in ms. */
+const SHORTEST_ATTEMPT_MS = 20;
+
+/** Share of the time left that the first attempt of an idempotent request may stay silent: the rest is for the second. */
+const FIRST_SILENCE_SHARE = 0.5;
+
+/** A stream without its first event after this time is sent elsewhere, in ms: callers leave after 2 s without one, and a stalled group answers after 1.5 s. */
+const STREAM_SILENCE_MS = 1700;
+
+/** An endpoint counts as full when this many times its slots are taken; a short queue there keeps its slots busy. */
+const FULL_SHARE = 2;
+
+type Terminal = {readonly kind: 'done'} | {readonly kind: 'refuse'; readonly reason: RefusalReason; readonly detail?: string};
+
+export class RequestFlow {
+	static create(parts: FlowParts, req: CallerRequest, body: Uint8Array, reply: CallerReply): RequestFlow {
+		return new RequestFlow(parts, req, body, reply);
+	}
+
+	readonly #startedAt: Instant;
+	readonly #tried = new Set<string>();
+	#route: Route | undefined;
+	#workspace: string | undefined;
+	#service = '';
+	#attempts = 0;
+	#connectFailures = 0;
+	#mayHaveRun = false;
+	#firstByteMs = 0;
+	#lastEventId: number | undefined;
+	#lastEndpoint = '';
+	#detail = '';
+
+	private constructor(private readonly parts: FlowParts, private readonly req: CallerRequest, private readonly body: Uint8Array, private readonly reply: CallerReply) {
+		this.#startedAt = parts.now();
+		this.#lastEventId = req.lastEventId;
+	}
+
+	/** Serves the request. Never rejects. */
+	async run(): Promise<void> {
+		const admitted = this.#admit();
+		const end = admitted.kind === 'refuse' ? admitted : await this.#attemptUntilDone(admitted.route);
+		if (this.reply.left.aborted) {
+			this.parts.journal.record({kind: 'caller-left', facts: this.#facts()});
+			return;
+		}
+
+		if (end.kind === 'refuse') {
+			this.#refuse(end.reason, end.detail ?? this.#detail);
+		}
+	}
+
+	#admit(): {readonly kind: 'admitted'; readonly route: Route} | Extract<Terminal, {kind: 'refuse'}> {
+		const config = this.parts.config.current;
+		if (config === undefined) {
+			return {kind: 'refuse', reason: 'no-configuration'};
+		}
+
+		const route = config.findRoute(this.req.host, this.req.path);
+		if (route === undefined) {
+			return {kind: 'refuse', reason: 'unknown-route'};
+		}
+
+		this.#route = route;
+		if (config.usesKeys && !route.isPublic) {
+			const refusal = this.#checkKey(config);
+			if (refusal !== undefined) {
+				return refusal;
+			}
+		}
+
+		const service = pickService(route.shares, this.parts.random());
+		if (service === undefined) {
+			return {kind: 'refuse', reason: 'no-endpoint', detail: 'the route has no service'};
+		}
+
+		this.#service = service;
+		this.parts.budgetOf(service).noteRequest(this.#steady());
+		return {kind: 'admitted', route};
+	}
+
+	#checkKey(config: FleetConfig): Extract<Terminal, {kind: 'refuse'}> | undefined {
+		if (!this.#keysAreTrusted()) {
+			return {kind: 'refuse', reason: 'stale-keys'};
+		}
+
+		const workspace = this.req.key === undefined ? undefined : config.findWorkspace(this.req.key);
+		if (workspace === undefined) {
+			return {kind: 'refuse', reason: 'unknown-key'};
+		}
+
+		this.#workspace = workspace.name;
+		return undefined;
+	}
+
+	#keysAreTrusted(): boolean {
+		const {keyTrustMs, config, now} = this.parts;
+		return keyTrustMs === undefined || config.ageMs(now()) < keyTrustMs;
+	}
+
+	/** Whether the request may be sent at this very moment. */
+	#maySend(): boolean {
+		const config = this.parts.config.current;
+		if (config === undefined || this.#workspace === undefined) {
+			return config !== undefined;
+		}
+
+		return this.#keysAreTrusted() && config.findWorkspace(this.req.key ?? '') !== undefined;
+	}
+
+	async #attemptUntilDone(route: Route): Promise<Terminal> {
+		for (;;) {
+			if (this.reply.left.aborted) {
+				return {kind: 'done'};
+			}
+
+			if (this.#remainingMs(route) < SHORTEST_ATTEMPT_MS) {
+				return this.#outOfTime();
+			}
+
+			const place = this.#choose(route);
+			if (place.kind === 'none') {
+				return this.#cannotGoOn(place.reason);
+			}
+
+			const end = await this.#attempt(route, place.endpoint);
+			const next = await this.#settle(route, place.endpoint, end);
+			if (next !== 'again') {
+				return next;
+			}
+		}
+	}
+
+	#choose(route: Route): {readonly kind: 'place'; readonly endpoint: EndpointRecord} | {readonly kind: 'none'; readonly reason: RefusalReason} {
+		const {directory, health, load, random} = this.parts;
+		const now = this.#steady();
+		const endpoints = directory.endpointsOf(this.#service, now);
+		const untried = endpoints.filter(({id}) => !this.#tried.has(id));
+		if (untried.length === 0) {
+			return {kind: 'none', reason: endpoints.length === 0 ? 'no-endpoint' : 'unreachable'};
+		}
+
+		const candidates: Candidate[] = untried.map(({id, slots}) => ({
+			id, slots, inFlight: load.inFlight(id, now), failureRatio: health.failureRatio(id), isAvoided: health.isAvoided(id, now),
+		}));
+		const chosen = choosePlace(candidates, random)!;
+		if (chosen.inFlight >= chosen.slots * FULL_SHARE && route.kind.kind === 'stream' && this.#attempts === 0) {
+			return {kind: 'none', reason: 'overload'};
+		}
+
+		return {kind: 'place', endpoint: untried.find(({id}) => id === chosen.id)!};
+	}
+
+	async #attempt(route: Route, endpoint: EndpointRecord): Promise<AttemptEnd> {
+		const {parts} = this;
+		this.#tried.add(endpoint.id);
+		this.#lastEndpoint = endpoint.id;
+		const leave = parts.load.enter(endpoint.id);
+		const end = await runAttempt({
+			req: this.req,
+			body: this.body,
+			endpoint,
+			passedOn: {
+				endpointId: endpoint.id, workspace: this.#workspace, priority: route.priority, lastEventId: this.#lastEventId,
+			},
+			isStream: route.kind.kind === 'stream',
+			mayReuse: mayRepeat(route),
+			remainingMs: () => Math.floor(this.#remainingMs(route) - DEADLINE_MARGIN_MS),
+			silenceMs: this.#silenceMs(route),
+			maySend: () => this.#maySend() && parts.directory.find(endpoint.id, this.#steady()) !== undefined,
+			callerLeft: this.reply.left,
+		}, parts.pool, parts.dialect);
+		if (end.kind === 'stream') {
+			end.res.once('close', leave);
+		} else {
+			leave();
+		}
+
+		if (end.kind !== 'not-sent') {
+			this.#attempts += 1;
+			this.#mayHaveRun ||= end.kind !== 'not-run';
+		}
+
+		return end;
+	}
+
+	#silenceMs(route: Route): number {
+		const left = this.#remainingMs(route);
+		if (!mayRepeat(route) || this.#attempts + 1 >= route.maxAttempts) {
+			return left;
+		}
+
+		return route.kind.kind === 'stream' ? Math.min(left, STREAM_SILENCE_MS) : left * FIRST_SILENCE_SHARE;
+	}
+
+	async #settle(route: Route, endpoint: EndpointRecord, end: AttemptEnd): Promise<Terminal | 'again'> {
+		switch (end.kind) {
+			case 'caller-left': {
+				return {kind: 'done'};
+			}
+
+			case 'not-sent': {
+				return this.#afterNotSent(endpoint, end.reason);
+			}
+
+			case 'not-run': {
+				this.#noteOutcome(end.atFault ?? endpoint.id, end.isMisdirected ? 'misdirected' : 'full');
+				return this.#afterFailure(route, endpoint, {outcome: 'not-run', detail: String(end.status), otherwise: 'not-run', mayAgain: true});
+			}
+
+			case 'silent': {
+				this.#noteOutcome(endpoint.id, 'silent');
+				return this.#afterFailure(route, endpoint, {outcome: 'silent', detail: '', otherwise: 'timeout', mayAgain: mayRepeat(route)});
+			}
+
+			case 'unknown': {
+				this.#noteOutcome(endpoint.id, 'broken');
+				return this.#afterFailure(route, endpoint, {outcome: 'unknown', detail: end.reason, otherwise: 'unknown-outcome', mayAgain: mayRepeat(route)});
+			}
+
+			case 'answer': {
+				return this.#afterAnswer(route, endpoint, end);
+			}
+
+			case 'stream': {
+				return this.#relay(route, endpoint, end);
+			}
+
+			default: {
+				return unreachable(end);
+			}
+		}
+	}
+
+	#afterNotSent(endpoint: EndpointRecord, reason: string): Terminal | 'again' {
+		this.#noteOutcome(endpoint.id, 'unreachable');
+		this.#connectFailures += 1;
+		const willRetry = this.#connectFailures < MAX_CONNECT_FAILURES;
+		this.#tellFailure(endpoint, 'not-sent', reason, willRetry);
+		if (willRetry && this.#maySend()) {
+			return 'again';
+		}
+
+		return this.#cannotGoOn(this.#maySend() ? 'unreachable' : 'stale-keys');
+	}
+
+	#afterFailure(route: Route, endpoint: EndpointRecord, {outcome, detail, otherwise, mayAgain}: {readonly outcome: string; readonly detail: string; readonly otherwise: RefusalReason; readonly mayAgain: boolean}): Terminal | 'again' {
+		this.#detail = `${outcome} ${detail} at ${endpoint.id}`;
+		const willRetry = mayAgain && this.#attempts < route.maxAttempts
+			&& this.#remainingMs(route) >= SHORTEST_ATTEMPT_MS
+			&& this.parts.budgetOf(this.#service).takeRetry(this.#steady());
+		this.#tellFailure(endpoint, outcome, detail, willRetry);
+		return willRetry ? 'again' : this.#cannotGoOn(otherwise);
+	}
+
+	#afterAnswer(route: Route, endpoint: EndpointRecord, end: Extract<AttemptEnd, {kind: 'answer'}>): Terminal | 'again' {
+		const isSuccess = end.status >= 200 && end.status < 300;
+		if (isSuccess && !end.isSigned) {
+			this.#noteOutcome(endpoint.id, 'broken');
+			return this.#afterFailure(route, endpoint, {outcome: 'unsigned', detail: String(end.status), otherwise: 'unknown-outcome', mayAgain: mayRepeat(route)});
+		}
+
+		this.#noteOutcome(endpoint.id, end.status >= 500 ? 'failed' : 'answered');
+		if (end.status >= 500 && mayRepeat(route)) {
+			const next = this.#afterFailure(route, endpoint, {outcome: 'failed', detail: String(end.status), otherwise: 'unknown-outcome', mayAgain: true});
+			if (next === 'again') {
+				return next;
+			}
+		}
+
+		// Once part of a stream is with the caller, a failure can only end the connection.
+		if (this.reply.isStarted) {
+			return this.#cutOff(endpoint, `answer ${end.status} on resuming`);
+		}
+
+		this.#firstByteMs = this.#elapsedMs();
+		this.reply.sendWhole(end.status, this.parts.dialect.headersToCaller(end.rawHeaders), end.body);
+		this.#tellAnswered(endpoint, end.status);
+		return {kind: 'done'};
+	}
+
+	async #relay(route: Route, endpoint: EndpointRecord, {res, exchange}: Extract<AttemptEnd, {kind: 'stream'}>): Promise<Terminal | 'again'> {
+		const isFirst = !this.reply.isStarted;
+		if (isFirst) {
+			this.#firstByteMs = this.#elapsedMs();
+		}
+
+		const end: StreamEnd = await relayStream({
+			res,
+			reply: this.reply,
+			head: isFirst ? this.parts.dialect.headersToCaller(res.rawHeaders) : undefined,
+			lastEventId: this.#lastEventId,
+			silenceMs: STREAM_SILENCE_MS,
+			endAfterMs: this.#remainingMs(route),
+		});
+		this.#lastEventId = end.lastEventId;
+		if (end.kind !== 'complete') {
+			exchange.abort();
+		}
+
+		switch (end.kind) {
+			case 'complete': {
+				this.#noteOutcome(endpoint.id, 'answered');
+				this.reply.endStream();
+				this.#tellAnswered(endpoint, 200);
+				return {kind: 'done'};
+			}
+
+			case 'caller-left': {
+				return {kind: 'done'};
+			}
+
+			case 'out-of-time': {
+				return this.#cutOff(endpoint, 'timeout');
+			}
+
+			case 'broken': {
+				this.#noteOutcome(endpoint.id, 'broken');
+				return this.#afterFailure(route, endpoint, {outcome: 'stream broke', detail: end.reason, otherwise: 'unknown-outcome', mayAgain: mayRepeat(route)});
+			}
+
+			default: {
+				return unreachable(end);
+			}
+		}
+	}
+
+	/** Ends the request when no further attempt can be made. */
+	#cannotGoOn(reason: RefusalReason): Terminal {
+		if (this.reply.isStarted) {
+			return this.#cutOff(undefined, reason);
+		}
+
+		// Inviting the caller back promises that nothing ran, which is not known after an attempt with an unknown outcome.
+		return {kind: 'refuse', reason: this.#mayHaveRun && refusalOf(reason).mayReturn ? 'unknown-outcome' : reason};
+	}
+
+	#outOfTime(): Terminal {
+		return this.#cannotGoOn(this.#attempts === 0 ? 'timeout-before-sent' : 'timeout');
+	}
+
+	#cutOff(endpoint: EndpointRecord | undefined, reason: string): Terminal {
+		this.reply.breakOff();
+		this.parts.journal.record({
+			kind: 'cut', facts: this.#facts(), endpoint: endpoint?.id ?? this.#lastEndpoint, reason, lastEventId: this.#lastEventId,
+		});
+		return {kind: 'done'};
+	}
+
+	#refuse(reason: RefusalReason, detail: string): void {
+		const {status, mayReturn} = refusalOf(reason);
+		const retryAfterS = mayReturn ? retryAfterSeconds(this.#callerLeftMs(), this.parts.random()) : undefined;
+		const headers = [...this.parts.dialect.ownHeaders(this.req), ...(retryAfterS === undefined ? [] : ['Retry-After', String(retryAfterS)])];
+		this.reply.sendWhole(status, headers, Buffer.from(`${reason}\n`));
+		this.parts.journal.record({
+			kind: 'refused', facts: this.#facts(), reason, status, retryAfterS, detail: detail === '' ? undefined : detail,
+		});
+	}
+
+	#noteOutcome(id: string, outcome: AttemptOutcome): void {
+		this.parts.health.note(id, outcome, this.#steady());
+	}
+
+	#tellFailure(endpoint: EndpointRecord, outcome: string, detail: string, willRetry: boolean): void {
+		this.parts.journal.record({
+			kind: 'attempt-failed', requestId: this.req.id, attempt: this.#attempts, endpoint: endpoint.id, outcome, detail, inFlight: this.parts.load.inFlight(endpoint.id, this.#steady()), willRetry,
+		});
+	}
+
+	#tellAnswered(endpoint: EndpointRecord, status: number): void {
+		this.parts.journal.record({
+			kind: 'answered', facts: this.#facts(), endpoint: endpoint.id, status, firstByteMs: this.#firstByteMs,
+		});
+	}
+
+	#facts(): RequestFacts {
+		const {config} = this.parts;
+		const age = config.ageMs(this.parts.now());
+		return {
+			requestId: this.req.id,
+			route: this.#route?.name,
+			workspace: this.#workspace,
+			configVersion: config.current?.version,
+			configAgeMs: Number.isFinite(age) ? Math.round(age) : undefined,
+			attempts: this.#attempts,
+			elapsedMs: Math.round(this.#elapsedMs()),
+		};
+	}
+
+	#steady(): number {
+		return this.parts.now().steadyMs;
+	}
+
+	#elapsedMs(): number {
+		return this.#steady() - this.#startedAt.steadyMs;
+	}
+
+	#callerLeftMs(): number {
+		return (this.req.waitMs ?? this.#route?.timeoutMs ?? 0) - this.#elapsedMs();
+	}
+
+	/** Time until the caller's deadline or the route's timeout, whichever is sooner, in ms. */
+	#remainingMs(route: Route): number {
+		return Math.min(this.req.waitMs ?? route.timeoutMs, route.timeoutMs) - this.#elapsedMs();
+	}
+}
+
+/** Whether a request whose outcome is unknown may be sent again. */
+function mayRepeat({kind}: Route): boolean {
+	return kind.kind === 'idempotent' || (kind.kind === 'stream' && kind.resumable);
+}
--- /dev/null
+++ b/packages/gateway/src/stream-relay.ts
@@ -0,0 +1,89 @@
+/** Passes the events of one endpoint's stream on to the caller as they arrive, whole events only. */
+import type {IncomingMessage} from 'node:http';
+import type {CallerReply} from './caller-reply.js';
+import {EventSplitter} from '#dispatch';
+
+/** How the relay of one endpoint's stream ended. */
+export type StreamEnd = {readonly lastEventId: number | undefined} & (
+	| {readonly kind: 'complete'}
+	| {readonly kind: 'broken'; readonly reason: string}
+	| {readonly kind: 'out-of-time'}
+	| {readonly kind: 'caller-left'});
+
+export type RelayInput = {
+	readonly res: IncomingMessage;
+	readonly reply: CallerReply;
+	/** Head for the caller, sent with the first event; undefined if a first endpoint's head was sent. */
+	readonly head: readonly string[] | undefined;
+	/** Last event that the caller has. */
+	readonly lastEventId: number | undefined;
+	/** A stream without a byte for so long counts as broken, in ms. */
+	readonly silenceMs: number;
+	/** Time that is left for the whole stream, in ms. */
+	readonly endAfterMs: number;
+};
+
+export async function relayStream({res, reply, head, lastEventId, silenceMs, endAfterMs}: RelayInput): Promise<StreamEnd> {
+	const splitter = EventSplitter.create(lastEventId);
+	let hasHead = head === undefined;
+	return new Promise(resolve => {
+		const finish = (end: StreamEnd) => {
+			clearTimeout(endTimer);
+			clearTimeout(silenceTimer);
+			reply.left.removeEventListener('abort', onLeft);
+			res.off('data', onData).off('end', onEnd).off('close', onClose);
+			resolve(end);
+		};
+
+		const sendHead = () => {
+			if (!hasHead) {
+				hasHead = true;
+				reply.startStream(200, head ?? []);
+			}
+		};
+
+		const onData = (chunk: Buffer) => {
+			silenceTimer.refresh();
+			const {whole, count} = splitter.push(chunk);
+			if (count === 0) {
+				return;
+			}
+
+			sendHead();
+			if (!reply.write(whole)) {
+				res.pause();
+				void reply.drained().then(() => res.resume());
+			}
+		};
+
+		const onEnd = () => {
+			if (!res.complete || splitter.pendingBytes > 0) {
+				finish({kind: 'broken', reason: 'ended inside an event', lastEventId: splitter.lastId});
+				return;
+			}
+
+			sendHead();
+			finish({kind: 'complete', lastEventId: splitter.lastId});
+		};
+
+		const onClose = () => {
+			finish({kind: 'broken', reason: 'connection closed', lastEventId: splitter.lastId});
+		};
+
+		const onLeft = () => {
+			finish({kind: 'caller-left', lastEventId: splitter.lastId});
+		};
+
+		const silenceTimer = setTimeout(() => {
+			finish({kind: 'broken', reason: 'silent', lastEventId: splitter.lastId});
+		}, silenceMs);
+		const endTimer = setTimeout(() => {
+			finish({kind: 'out-of-time', lastEventId: splitter.lastId});
+		}, Math.max(0, endAfterMs));
+		reply.left.addEventListener('abort', onLeft, {once: true});
+		res.on('error', () => {
+			// `close` follows and ends the relay.
+		});
+		res.on('data', onData).once('end', onEnd).once('close', onClose);
+	});
+}
--- a/packages/harness/src/child.ts
+++ b/packages/harness/src/child.ts
@@ -49,7 +49,7 @@
 
 export class Child {
 	/**
-	 * Starts a compiled module of `dist/` and waits for its first JSON line with one of the given keys.
+	 * Starts a compiled module of `target/packages/` and waits for its first JSON line with one of the given keys.
 	 *
 	 * @throws Error with the last output when the process ends or stays silent.
 	 */
--- a/packages/harness/src/command.ts
+++ b/packages/harness/src/command.ts
@@ -9,7 +9,7 @@
 	readonly stderr: string;
 };
 
-/** Runs a compiled module of `dist/`. @throws Error when the process cannot be started or is killed. */
+/** Runs a compiled module of `target/packages/`. @throws Error when the process cannot be started or is killed. */
 export async function runCommand(module: string, args: readonly string[]): Promise<CommandResult> {
 	return new Promise((resolve, reject) => {
 		execFile(process.execPath, ['--enable-source-maps', module, ...args], (error, stdout, stderr) => {
--- a/packages/harness/src/test-fleet.ts
+++ b/packages/harness/src/test-fleet.ts
@@ -85,7 +85,7 @@
 export class TestFleet {
 	/** Starts the platform stand-in. Add engines, services and entries after it. */
 	static async create(options: {readonly platformArgs?: readonly string[]} = {}): Promise<TestFleet> {
-		const platform = await Child.create('platform', 'dist/standins-platform/src/bin.js', ['--port', '0', '--key', PLATFORM_KEY, ...options.platformArgs ?? []]);
+		const platform = await Child.create('platform', 'target/packages/standins-platform/src/bin.js', ['--port', '0', '--key', PLATFORM_KEY, ...options.platformArgs ?? []]);
 		return new TestFleet(platform);
 	}
 
@@ -137,7 +137,7 @@
 		const keyFile = path.join(this.#folder, 'platform.key');
 		writeFileSync(rulesFile, text);
 		writeFileSync(keyFile, PLATFORM_KEY, {mode: 0o600});
-		return runCommand('dist/cli/src/bin.js', ['rules', 'apply', rulesFile, '--platform', this.platformUrl, '--platform-key-file', keyFile, '--author', author, ...args]);
+		return runCommand('target/packages/cli/src/bin.js', ['rules', 'apply', rulesFile, '--platform', this.platformUrl, '--platform-key-file', keyFile, '--author', author, ...args]);
 	}
 
 	/** Switches faults of a stand-in. */
@@ -157,7 +157,7 @@
 		const id = `ep-${this.#endpointCount}`;
 		const models = options.models ?? ['drafting@1'];
 		const names = [...new Set(models.map(model => model.split('@')[0] ?? model))];
-		const backend = await Child.create(`engine of ${id}`, 'dist/standins-engine/src/bin.js', [...names.flatMap(name => ['--model', name]), '--rank-id', id, ...options.args ?? []]);
+		const backend = await Child.create(`engine of ${id}`, 'target/packages/standins-engine/src/bin.js', [...names.flatMap(name => ['--model', name]), '--rank-id', id, ...options.args ?? []]);
 		const group = options.group ?? `group-${id}`;
 		const groupSize = options.groupSize ?? 8;
 		const ranks = options.ranks ?? '0-7';
@@ -182,7 +182,7 @@
 		const group = options.group ?? 'group-1';
 		const models = options.models ?? ['drafting@1'];
 		const names = [...new Set(models.map(model => model.split('@')[0] ?? model))];
-		const backend = await Child.create(`engines of ${group}`, 'dist/standins-engine/src/bin.js', [
+		const backend = await Child.create(`engines of ${group}`, 'target/packages/standins-engine/src/bin.js', [
 			...names.flatMap(name => ['--model', name]), ...ids.flatMap(id => ['--rank-id', id]), ...options.args ?? [],
 		]);
 		const ports = backend.hello.ports as readonly number[];
@@ -209,7 +209,7 @@
 	async addService(options: ServiceOptions): Promise<EndpointNode> {
 		this.#endpointCount += 1;
 		const id = `ep-${this.#endpointCount}`;
-		const backend = await Child.create(`service of ${id}`, 'dist/standins-service/src/bin.js', [...options.args ?? []]);
+		const backend = await Child.create(`service of ${id}`, 'target/packages/standins-service/src/bin.js', [...options.args ?? []]);
 		return this.#addEndpoint({
 			id, backend, port: Number(backend.hello.listening), place: options, section: `kind = service\nservice = ${options.service}\n`, instance: {kind: 'service', service: options.service},
 		});
@@ -230,7 +230,7 @@
 		const settingsFile = this.#writeSettings({
 			id, role: 'entry', place: options, section, seeds: options.seeds ?? [],
 		});
-		const daemon = await Child.create(id, 'dist/daemon/src/bin.js', [settingsFile]);
+		const daemon = await Child.create(id, 'target/packages/daemon/src/bin.js', [settingsFile]);
 		const instance = {
 			id, role: 'entry', kind: 'entry', zone: options.zone ?? 'colombo-a', region: options.region ?? 'lk-west',
 		};
@@ -269,13 +269,13 @@
 
 	/** Starts an entry again after its process ended. */
 	async restartEntry(node: EntryNode): Promise<void> {
-		node.daemon = await Child.create(node.id, 'dist/daemon/src/bin.js', [node.settingsFile]);
+		node.daemon = await Child.create(node.id, 'target/packages/daemon/src/bin.js', [node.settingsFile]);
 		await this.#refreshEntry(node);
 	}
 
 	/** Starts an endpoint process again after it ended; its back end keeps running. */
 	async restartEndpoint(node: EndpointNode): Promise<void> {
-		node.daemon = await Child.create(node.id, 'dist/daemon/src/bin.js', [node.settingsFile]);
+		node.daemon = await Child.create(node.id, 'target/packages/daemon/src/bin.js', [node.settingsFile]);
 		await this.#refreshEndpoint(node);
 	}
 
@@ -328,7 +328,7 @@
 		const settingsFile = this.#writeSettings({
 			id, role: 'endpoint', place, section: `[endpoint]\nbackend-url = ${backendUrl}\n${section}`, seeds: [],
 		});
-		const daemon = await Child.create(id, 'dist/daemon/src/bin.js', [settingsFile]);
+		const daemon = await Child.create(id, 'target/packages/daemon/src/bin.js', [settingsFile]);
 		const node: EndpointNode = {
 			id,
 			backend,
--- a/packages/load/src/bin.ts
+++ b/packages/load/src/bin.ts
@@ -9,7 +9,7 @@
 	DEFAULT_PLAN, formatLoadReport, runLoad, type LoadRecorder, type LoadWorkspace,
 } from '#load';
 
-const USAGE = `usage: node dist/load/src/bin.js --url URL [--url URL...] [options]
+const USAGE = `usage: node target/packages/load/src/bin.js --url URL [--url URL...] [options]
 
   --url URL              entry or engine to send to; several are used in turn
   --workspace NAME=KEY[*WEIGHT]  workspace, its key and its weight; may be repeated
--- a/packages/platform/__tests__/unit/client.test.ts
+++ b/packages/object-api/__tests__/unit/client.test.ts
@@ -4,7 +4,7 @@
 import type {Result} from '#core';
 import {
 	followObjects, PlatformClient, type FollowEvent, type PlatformClientOptions, type WatchEvent,
-} from '#platform';
+} from '#object-api';
 import {PlatformServer, type PlatformServerOptions} from '#standins-platform';
 
 async function start(t: Test, serverOptions: PlatformServerOptions = {}, clientOptions: Partial<PlatformClientOptions> = {}) {
--- a/packages/peering/src/platform-watch.ts
+++ b/packages/peering/src/platform-watch.ts
@@ -8,7 +8,7 @@
 import {
 	formatMachines, isWatcher, parseMachine, type Machine,
 } from '#membership';
-import {type PlatformClient} from '#platform';
+import {type PlatformClient} from '#object-api';
 import {type Logger} from '#telemetry';
 
 /** Object that holds the rules. */
--- a/packages/standins-platform/__tests__/unit/platform-server.test.ts
+++ b/packages/standins-platform/__tests__/unit/platform-server.test.ts
@@ -51,7 +51,7 @@
 });
 
 await t.test('the process prints its port and stops on SIGTERM', async t => {
-	const child = spawn(process.execPath, ['dist/standins-platform/src/bin.js', '--port', '0', '--key', 'k'], {stdio: ['ignore', 'pipe', 'inherit']});
+	const child = spawn(process.execPath, ['target/packages/standins-platform/src/bin.js', '--port', '0', '--key', 'k'], {stdio: ['ignore', 'pipe', 'inherit']});
 	const line = await new Promise<string>(resolve => {
 		child.stdout.setEncoding('utf8').once('data', resolve);
 	});
--- a/packages/tooling/src/known-red.ts
+++ b/packages/tooling/src/known-red.ts
@@ -1,14 +1,14 @@
 import {readFileSync} from 'node:fs';
 
 /**
- * Reads the test files named in KNOWN-RED.txt: the first word of each line that starts with `packages/`.
+ * Reads the test files named in KNOWN-RED.txt: the first word of each line that starts with `packages/` or `platform/`.
  *
- * @returns Compiled paths below `dist/`.
+ * @returns Compiled paths below `target/`.
  */
 export function readKnownRed(file: string): readonly string[] {
 	return readFileSync(file, 'utf8')
 		.split('\n')
-		.filter(line => line.startsWith('packages/'))
+		.filter(line => /^(?:packages|platform)\//u.test(line))
 		.map(line => line.split(/[\s,]/u)[0] ?? '')
-		.map(name => name.replace(/^packages\//u, 'dist/').replace(/\.ts$/u, '.js'));
+		.map(name => `target/${name.replace(/\.ts$/u, '.js')}`);
 }
--- a/packages/tooling/src/run-fuzz.ts
+++ b/packages/tooling/src/run-fuzz.ts
@@ -25,7 +25,7 @@
 });
 const endAt = performance.now() + (wholeNumber('seconds', values.seconds) * 1000);
 const runs = wholeNumber('runs', values.runs);
-const files = findTests('dist').filter(file => file.endsWith('.fuzz.test.js') && file.includes(values.only));
+const files = findTests('target').filter(file => file.endsWith('.fuzz.test.js') && file.includes(values.only));
 if (files.length === 0) {
 	throw new InputError(`no fuzz test matches ${JSON.stringify(values.only)}`);
 }
--- a/packages/tooling/src/run-tests.ts
+++ b/packages/tooling/src/run-tests.ts
@@ -11,7 +11,7 @@
 const JOBS = 5;
 const red = readKnownRed('KNOWN-RED.txt');
 const wanted = process.argv.slice(2);
-const tests = findTests('dist')
+const tests = findTests('target')
 	.filter(file => !red.includes(file))
 	.filter(file => wanted.length === 0 || wanted.some(part => file.includes(part)));
 for (const file of red) {
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,7 +1,7 @@
 /** @type {import('xo').FlatXoConfig} */
 const config = [
 	{
-		ignores: ['dist/**', 'reports/**'],
+		ignores: ['target/**', 'reports/**'],
 	},
 	{
 		files: ['**/*.ts'],
