--- a/packages/dispatch/src/fleet-config.ts
+++ b/packages/dispatch/src/fleet-config.ts
@@ -46,6 +46,20 @@
 	readonly name: string;
 	/** Connections that one endpoint accepts from all callers together. */
 	readonly maxConnections: number | undefined;
+	/** Experts of its groups; undefined if it has none. */
+	readonly experts: ServiceExperts | undefined;
+};
+
+/** Experts of a service whose endpoints run in lock-step. */
+export type ServiceExperts = {
+	/** Sets of layers that are placed together. */
+	readonly sets: number;
+	/** Experts of a set. */
+	readonly experts: number;
+	/** Most experts of a set that one endpoint holds. */
+	readonly places: number;
+	/** Most experts of a set that may be new to an endpoint in one change. */
+	readonly spare: number;
 };
 
 /** Bounds on callers. */
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,7 +1,7 @@
 /** Public index: the decisions of an entry that speaks straight to endpoints. No sockets, timers or clocks. */
 export {elapsedMs, readInstant, type Instant} from './instant.js';
 export {
-	FleetConfig, pickService, type CallerLimits, type FleetConfigParts, type Route, type RouteKind, type ServiceConfig, type ServiceShare, type Workspace,
+	FleetConfig, pickService, type CallerLimits, type FleetConfigParts, type Route, type RouteKind, type ServiceConfig, type ServiceExperts, type ServiceShare, type Workspace,
 } from './fleet-config.js';
 export {ConfigHolder, type ConfigOffer} from './config-holder.js';
 export {
--- /dev/null
+++ b/packages/links/src/request-server.ts
@@ -0,0 +1,52 @@
+/** Answers requests of other processes of the system over WebSockets; frames are MessagePack. */
+import {once} from 'node:events';
+import {pack, unpack} from 'msgpackr';
+import {WebSocketServer, type WebSocket} from 'ws';
+
+/** Handles one request; what it returns is the answer. A rejection is answered as a failure. */
+export type RequestHandler = (request: unknown) => Promise<unknown>;
+
+/** Largest frame, in bytes: a configuration of a thousand routes and some room. */
+export const MAX_FRAME_BYTES = 4 * 1024 * 1024;
+
+export class RequestServer {
+	/** Listens until the signal aborts. Rejects if the address is taken. */
+	static async create(host: string, port: number, handler: RequestHandler, signal: AbortSignal): Promise<RequestServer> {
+		const server = new WebSocketServer({
+			host, port, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false,
+		});
+		await once(server, 'listening');
+		return new RequestServer(server, handler, signal);
+	}
+
+	private constructor(readonly server: WebSocketServer, private readonly handler: RequestHandler, signal: AbortSignal) {
+		server.on('connection', socket => {
+			socket.on('error', () => {
+				socket.terminate();
+			});
+			socket.on('message', data => {
+				void this.#answer(socket, data as Buffer);
+			});
+		});
+		signal.addEventListener('abort', () => {
+			for (const socket of server.clients) {
+				socket.terminate();
+			}
+
+			server.close();
+		}, {once: true});
+	}
+
+	async #answer(socket: WebSocket, data: Buffer): Promise<void> {
+		let id: unknown;
+		try {
+			const frame = unpack(data) as {id?: unknown; request?: unknown};
+			id = frame.id;
+			socket.send(pack({id, answer: await this.handler(frame.request)}));
+		} catch (error) {
+			if (socket.readyState === socket.OPEN) {
+				socket.send(pack({id, failure: (error as Error).message}));
+			}
+		}
+	}
+}
--- /dev/null
+++ b/packages/rankmap/src/set-planner.ts
@@ -0,0 +1,246 @@
+/**
+ * Plans a better placement of experts for the load observed. Answers demand that shifts within seconds
+ * while a copy costs time and money: the fewest copies that take the most from the fullest rank of each set.
+ */
+import type {ExpertShape, GroupMap} from './types.js';
+
+/** Tokens by set and expert. */
+export type ExpertLoad = ReadonlyArray<readonly number[]>;
+
+/** A planned map. */
+export type MapProposal = {
+	readonly map: GroupMap;
+	/** Experts that are copied, over all sets and ranks. */
+	readonly copies: number;
+	/** Load of the fullest rank over the mean, averaged over the sets: before and after. */
+	readonly before: number;
+	readonly after: number;
+};
+
+export type PlannerOptions = {
+	/** A copy must lower the fullest rank of its set by this share of the mean load of a rank; smaller gains do not pay for the copy. */
+	readonly minGainPerCopy: number;
+};
+
+/** Loads are compared with this tolerance, as a share of the mean. */
+const TOLERANCE = 1e-6;
+
+/** Emptiest ranks that are weighed as the target of a copy. */
+const TARGET_RANKS = 6;
+
+/** Exponent of the penalty on rank loads; high enough that the fullest rank counts most, low enough that the second fullest counts too. */
+const PENALTY_POWER = 6;
+
+/** The map that groups begin with: experts dealt to the ranks in turn. */
+export function initialMap({ranks, sets, experts}: ExpertShape): GroupMap {
+	const set = Array.from({length: ranks}, (_, rank) => range(experts).filter(expert => expert % ranks === rank));
+	return Array.from({length: sets}, () => set);
+}
+
+/** Load of each rank of a set: an expert's tokens are shared evenly by the ranks that hold it. */
+export function rankLoadsOf(placement: ReadonlyArray<readonly number[]>, load: readonly number[]): number[] {
+	const copies = copiesOf(placement, load.length);
+	return placement.map(experts => experts.reduce((sum, expert) => sum + ((load[expert] ?? 0) / Math.max(1, copies[expert] ?? 1)), 0));
+}
+
+/** Load of the fullest rank over the mean, averaged over the sets; 1 without load. */
+export function skewOfMap(map: GroupMap, load: ExpertLoad): number {
+	const skews = map.map((placement, set) => {
+		const loads = rankLoadsOf(placement, load[set] ?? []);
+		const mean = loads.reduce((sum, value) => sum + value, 0) / loads.length;
+		return mean === 0 ? 1 : Math.max(...loads) / mean;
+	});
+	return skews.reduce((sum, value) => sum + value, 0) / Math.max(1, skews.length);
+}
+
+/** Plans a map within the limits of one change. Without a worthwhile copy the map is unchanged. */
+export function planMap(map: GroupMap, load: ExpertLoad, shape: ExpertShape, options: PlannerOptions): MapProposal {
+	let copies = 0;
+	const next = map.map((placement, set) => {
+		const search = SetSearch.create(placement, load[set] ?? [], shape, options);
+		search.run();
+		copies += search.copies;
+		return search.placement();
+	});
+	return {
+		map: next, copies, before: skewOfMap(map, load), after: skewOfMap(next, load),
+	};
+}
+
+/** One change of a set: an expert comes to a rank, and perhaps another one leaves it. */
+type Move = {readonly rank: number; readonly add: number; readonly drop: number | undefined};
+
+class SetSearch {
+	static create(placement: ReadonlyArray<readonly number[]>, load: readonly number[], shape: ExpertShape, options: PlannerOptions): SetSearch {
+		return new SetSearch(placement, load, shape, options);
+	}
+
+	copies = 0;
+	readonly #ranks: Array<Set<number>>;
+	readonly #original: ReadonlyArray<ReadonlySet<number>>;
+	readonly #holders: number[];
+	readonly #loads: number[];
+	readonly #mean: number;
+
+	private constructor(placement: ReadonlyArray<readonly number[]>, private readonly load: readonly number[], private readonly shape: ExpertShape, private readonly options: PlannerOptions) {
+		this.#ranks = placement.map(experts => new Set(experts));
+		this.#original = placement.map(experts => new Set(experts));
+		this.#holders = copiesOf(placement, load.length);
+		this.#loads = rankLoadsOf(placement, load);
+		this.#mean = this.#loads.reduce((sum, value) => sum + value, 0) / this.#loads.length;
+	}
+
+	placement(): ReadonlyArray<readonly number[]> {
+		return this.#ranks.map(experts => [...experts].toSorted((a, b) => a - b));
+	}
+
+	/** Applies the best move until none pays. */
+	run(): void {
+		if (this.#mean <= 0) {
+			return;
+		}
+
+		const most = this.shape.ranks * this.shape.spare;
+		for (let i = 0; i < most; i += 1) {
+			const best = this.#bestMove();
+			if (best === undefined) {
+				return;
+			}
+
+			this.#apply(best);
+			this.copies += 1;
+		}
+	}
+
+	#bestMove(): Move | undefined {
+		const fullest = indexOfMax(this.#loads);
+		const before = this.#penalty();
+		const targets = range(this.#loads.length).toSorted((a, b) => this.#loads[a]! - this.#loads[b]!).slice(0, TARGET_RANKS);
+		let best: Move | undefined;
+		let bestPenalty = before;
+		for (const add of this.#ranks[fullest]!) {
+			for (const rank of targets) {
+				if (this.#ranks[rank]!.has(add) || !this.#mayTake(rank, add)) {
+					continue;
+				}
+
+				for (const drop of this.#dropsOf(rank, add)) {
+					const penalty = this.#penaltyAfter({rank, add, drop});
+					if (penalty < bestPenalty - TOLERANCE) {
+						bestPenalty = penalty;
+						best = {rank, add, drop};
+					}
+				}
+			}
+		}
+
+		const gain = this.#smoothMax(before) - this.#smoothMax(bestPenalty);
+		return best !== undefined && gain >= this.options.minGainPerCopy ? best : undefined;
+	}
+
+	/** Whether a rank may still take an expert that is new to it in this change. */
+	#mayTake(rank: number, add: number): boolean {
+		if (this.#original[rank]!.has(add)) {
+			return true;
+		}
+
+		let fresh = 0;
+		for (const expert of this.#ranks[rank]!) {
+			fresh += this.#original[rank]!.has(expert) ? 0 : 1;
+		}
+
+		return fresh < this.shape.spare;
+	}
+
+	/** What may leave a rank for the new expert: nothing if there is a free place, else experts that other ranks hold too. */
+	#dropsOf(rank: number, add: number): ReadonlyArray<number | undefined> {
+		const experts = this.#ranks[rank]!;
+		if (experts.size < this.shape.places) {
+			return [undefined];
+		}
+
+		return [...experts].filter(expert => expert !== add && this.#holders[expert]! > 1);
+	}
+
+	#penalty(): number {
+		return this.#loads.reduce((sum, value) => sum + ((value / this.#mean) ** PENALTY_POWER), 0) / this.#loads.length;
+	}
+
+	/** The fullest rank that a penalty stands for, as a multiple of the mean. */
+	#smoothMax(penalty: number): number {
+		return (penalty * this.#loads.length) ** (1 / PENALTY_POWER);
+	}
+
+	#penaltyAfter(move: Move): number {
+		const undo = this.#shift(move);
+		const penalty = this.#penalty();
+		undo();
+		return penalty;
+	}
+
+	/** Changes the loads as a move would; returns how to change them back. */
+	#shift({rank, add, drop}: Move): () => void {
+		const saved = [...this.#loads];
+		this.#share(add, rank, 1);
+		if (drop !== undefined) {
+			this.#share(drop, rank, -1);
+		}
+
+		return () => {
+			for (const [index, value] of saved.entries()) {
+				this.#loads[index] = value;
+			}
+		};
+	}
+
+	/** Spreads an expert's load over one holder more (`by` 1) or less (-1). */
+	#share(expert: number, rank: number, by: 1 | -1): void {
+		const holders = this.#holders[expert]!;
+		const tokens = this.load[expert] ?? 0;
+		const [before, after] = [tokens / holders, tokens / (holders + by)];
+		for (const [other, experts] of this.#ranks.entries()) {
+			if (other !== rank && experts.has(expert)) {
+				this.#loads[other]! += after - before;
+			}
+		}
+
+		this.#loads[rank]! += by === 1 ? after : -before;
+	}
+
+	#apply(move: Move): void {
+		this.#shift(move);
+		const experts = this.#ranks[move.rank]!;
+		experts.add(move.add);
+		this.#holders[move.add]! += 1;
+		if (move.drop !== undefined) {
+			experts.delete(move.drop);
+			this.#holders[move.drop]! -= 1;
+		}
+	}
+}
+
+function copiesOf(placement: ReadonlyArray<readonly number[]>, experts: number): number[] {
+	const copies = Array.from({length: experts}, () => 0);
+	for (const held of placement) {
+		for (const expert of held) {
+			copies[expert] = (copies[expert] ?? 0) + 1;
+		}
+	}
+
+	return copies;
+}
+
+function indexOfMax(values: readonly number[]): number {
+	let best = 0;
+	for (const [index, value] of values.entries()) {
+		if (value > values[best]!) {
+			best = index;
+		}
+	}
+
+	return best;
+}
+
+function range(length: number): number[] {
+	return Array.from({length}, (_, index) => index);
+}
