Share what entries know, and let requests wait for a stopped group as callers would

Change: peers.ts (counts, configuration with its age, endpoints that left); group-watch.ts (agents tell whether a group runs; a quarter of the slots waits, the rest is told 2 to 3 s); urgency.ts (late requests leave a quarter of the slots free).

--- a/packages/dispatch/src/endpoint-directory.ts
+++ b/packages/dispatch/src/endpoint-directory.ts
@@ -27,6 +27,14 @@
 	readonly change: 'added' | 'leaving' | 'lapsed' | 'removed' | 'restarted' | 'returned';
 };
 
+/** A process that is leaving. */
+export type LeftEndpoint = {
+	readonly id: string;
+	readonly startedAt: number | undefined;
+	/** Revision of the entry that told so. */
+	readonly revision: number;
+};
+
 /** Time for lapsed entries to come back once the register is reachable again, in ms (bound of the platform's contract: about 2 s). */
 export const LAPSE_GRACE_MS = 2000;
 
@@ -53,6 +61,31 @@
 		};
 	}
 
+	/** Whether the register answered last time. */
+	get isInReach(): boolean {
+		return !this.#outOfReach;
+	}
+
+	/** Processes seen leaving, to be told to a peer. */
+	left(): readonly LeftEndpoint[] {
+		return [...this.#left].map(([id, {startedAt, revision}]) => ({id, startedAt, revision}));
+	}
+
+	/** Takes what a peer saw leaving. */
+	noteLeft({id, startedAt, revision}: LeftEndpoint): void {
+		const former = this.#left.get(id);
+		const known = this.#known.get(id);
+		if ((former !== undefined && former.revision >= revision) || (known !== undefined && known.record.revision > revision)) {
+			return;
+		}
+
+		this.#left.set(id, {startedAt, revision});
+		if (known !== undefined) {
+			this.#known.delete(id);
+			this.#tell(known.record, 'leaving');
+		}
+	}
+
 	/** Notes that the register cannot be read. */
 	noteOutOfReach(): void {
 		this.#outOfReach = true;
--- a/packages/dispatch/src/fleet-config.ts
+++ b/packages/dispatch/src/fleet-config.ts
@@ -85,6 +85,8 @@
 		return new FleetConfig(parts);
 	}
 
+	/** What it was made from, to be told to a peer. */
+	readonly parts: FleetConfigParts;
 	readonly version: number;
 	readonly limits: CallerLimits;
 	readonly routes: readonly Route[];
@@ -92,7 +94,9 @@
 	readonly #routesByHost = new Map<string, Route[]>();
 	readonly #workspaceByKey: Map<string, Workspace> | undefined;
 
-	private constructor({version, routes, workspaces, services, limits}: FleetConfigParts) {
+	private constructor(parts: FleetConfigParts) {
+		const {version, routes, workspaces, services, limits} = parts;
+		this.parts = parts;
 		this.version = version;
 		this.limits = limits;
 		this.routes = routes;
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -5,9 +5,12 @@
 } from './fleet-config.js';
 export {ConfigHolder, type ConfigOffer} from './config-holder.js';
 export {
-	EndpointDirectory, LAPSE_GRACE_MS, type DirectoryChange, type EndpointRecord,
+	EndpointDirectory, LAPSE_GRACE_MS, type DirectoryChange, type EndpointRecord, type LeftEndpoint,
 } from './endpoint-directory.js';
 export {EndpointHealth, type AttemptOutcome} from './endpoint-health.js';
 export {choosePlace, type Candidate} from './placement.js';
 export {EventSplitter, type SplitEvents} from './event-splitter.js';
 export {LoadBoard, PEER_LOAD_LIFETIME_MS, type LoadCounts} from './load-board.js';
+export {
+	backlogFor, isLate, placesFor, urgencyOf, type UrgencyInput,
+} from './urgency.js';
--- a/packages/dispatch/src/load-board.ts
+++ b/packages/dispatch/src/load-board.ts
@@ -44,6 +44,11 @@
 		return Object.fromEntries(this.#own);
 	}
 
+	/** Entries that share the endpoints, this one included, at `now` (steady ms). */
+	entries(now: number): number {
+		return 1 + [...this.#peers.values()].filter(({at}) => now - at <= PEER_LOAD_LIFETIME_MS).length;
+	}
+
 	/** Requests in flight at an endpoint from all entries, at `now` (steady ms). */
 	inFlight(id: string, now: number): number {
 		let sum = this.#own.get(id) ?? 0;
--- a/packages/gateway/__tests__/gateway-harness.ts
+++ b/packages/gateway/__tests__/gateway-harness.ts
@@ -7,7 +7,7 @@
 import type {Test} from 'tap';
 import {FleetConfig, type EndpointRecord, type Route} from '#dispatch';
 import {
-	Gateway, type Dialect, type EndpointChange, type Register, type RegisterAnswer,
+	Gateway, type GatewayOptions, type Dialect, type EndpointChange, type Register, type RegisterAnswer,
 } from '#gateway';
 import {createSilentLogger, Metrics} from '#telemetry';
 
@@ -128,12 +128,16 @@
 	};
 }
 
-export function testConfig(routes: readonly Route[], version = 1, keys?: readonly string[]): FleetConfig {
+export function testConfig(routes: readonly Route[], version = 1, keys?: readonly string[], groupServices: readonly string[] = []): FleetConfig {
 	return FleetConfig.create({
 		version,
 		routes,
 		workspaces: keys === undefined ? undefined : [{name: 'w', priority: undefined, keys}],
-		services: [],
+		services: groupServices.map(name => ({
+			name, maxConnections: undefined, experts: {
+				sets: 1, experts: 4, places: 4, spare: 1,
+			},
+		})),
 		limits: {maxBodyBytes: 100_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000},
 	});
 }
@@ -173,16 +177,18 @@
 }
 
 /** An entry on loopback; `callers` is its port. */
-export async function startGateway(t: Test, register: Register, keyTrustMs?: number): Promise<{readonly gateway: Gateway; readonly port: number}> {
+export async function startGateway(t: Test, register: Register, keyTrustMs?: number, peers?: GatewayOptions['peers'], probeGroup: GatewayOptions['probeGroup'] = async () => undefined): Promise<{readonly gateway: Gateway; readonly port: number}> {
 	const [port, ready] = [await freePort(), await freePort()];
 	const gateway = await Gateway.create({
 		name: 'entry-1',
 		zone: 'a',
 		callers: {host: '127.0.0.1', port},
 		ready: {host: '127.0.0.1', port: ready},
+		peers,
 		keyTrustMs,
 		retry: {fraction: 0.2, windowMs: 10_000, slack: 100},
 		graceMs: 800,
+		probeGroup,
 		dialect: testDialect,
 		register,
 		logger: createSilentLogger(),
@@ -231,7 +237,8 @@
 	});
 }
 
-async function freePort(): Promise<number> {
+/** A port that nobody listens on. */
+export async function freePort(): Promise<number> {
 	const server = createServer();
 	server.listen(0, '127.0.0.1');
 	await once(server, 'listening');
--- /dev/null
+++ b/packages/gateway/__tests__/unit/peers.test.ts
@@ -0,0 +1,71 @@
+/** Entries of which the register serves some and turns others away. */
+import t, {type Test} from 'tap';
+import {
+	answer, callRaw, FakeEndpoint, FakeRegister, freePort, startGateway, testConfig, testRoute,
+} from '../gateway-harness.js';
+import type {EndpointRecord} from '#dispatch';
+
+const TRUST_MS = 3000;
+
+async function startPair(t: Test): Promise<{
+	readonly registers: readonly [FakeRegister, FakeRegister];
+	readonly ports: readonly [number, number];
+	readonly endpoint: FakeEndpoint;
+}> {
+	const endpoint = await FakeEndpoint.create(t, 'e1', (socket, {id}) => socket.write(answer(id, 'whole')));
+	const records: readonly EndpointRecord[] = [endpoint.record()];
+	const config = testConfig([testRoute()], 1, ['key-1', 'key-2']);
+	const registers = [FakeRegister.create(config, records), FakeRegister.create(config, records)] as const;
+	const peerPorts = [await freePort(), await freePort()] as const;
+	const first = await startGateway(t, registers[0], TRUST_MS, {host: '127.0.0.1', port: peerPorts[0], seeds: []});
+	const second = await startGateway(t, registers[1], TRUST_MS, {host: '127.0.0.1', port: peerPorts[1], seeds: [`127.0.0.1:${peerPorts[0]}`]});
+	return {registers, ports: [first.port, second.port], endpoint};
+}
+
+const request = (id: string, key: string) => `GET / HTTP/1.1\r\nHost: h\r\nX-Request-Id: ${id}\r\nX-Key: ${key}\r\n\r\n`;
+
+async function statusOf(port: number, key: string): Promise<string> {
+	const {text} = await callRaw(port, request('q', key), 600, '\n');
+	return text.slice(9, 12);
+}
+
+async function pause(ms: number): Promise<void> {
+	await new Promise(resolve => {
+		setTimeout(resolve, ms);
+	});
+}
+
+t.test('an entry that the register turns away serves by what its neighbour confirms', async t => {
+	const {registers, ports} = await startPair(t);
+	registers[1].isDown = true;
+	await pause(TRUST_MS + 800);
+	t.equal(await statusOf(ports[1], 'key-1'), '200');
+	t.test('and learns of a key that was taken away', async t => {
+		registers[0].config = testConfig([testRoute()], 2, ['key-2']);
+		await pause(2500);
+		t.equal(await statusOf(ports[1], 'key-1'), '401');
+		t.equal(await statusOf(ports[1], 'key-2'), '200');
+	});
+});
+
+t.test('entries that cannot confirm their configuration refuse requests with keys as not run', async t => {
+	const {registers, ports, endpoint} = await startPair(t);
+	registers[0].isDown = true;
+	registers[1].isDown = true;
+	await pause(TRUST_MS + 1000);
+	const before = endpoint.seen.length;
+	t.equal(await statusOf(ports[0], 'key-1'), '503');
+	t.equal(await statusOf(ports[1], 'key-1'), '503');
+	t.equal(endpoint.seen.length, before);
+});
+
+t.test('an entry that starts while the register is away learns all from its seeds', async t => {
+	const endpoint = await FakeEndpoint.create(t, 'e1', (socket, {id}) => socket.write(answer(id, 'whole')));
+	const seed = await freePort();
+	await startGateway(t, FakeRegister.create(testConfig([testRoute()], 1, ['key-1']), [endpoint.record()]), TRUST_MS, {host: '127.0.0.1', port: seed, seeds: []});
+	const register = FakeRegister.create(undefined, []);
+	register.isDown = true;
+	const {port} = await startGateway(t, register, TRUST_MS, {host: '127.0.0.1', port: await freePort(), seeds: [`127.0.0.1:${seed}`]});
+	t.equal(await statusOf(port, 'key-1'), '200');
+	t.equal(await statusOf(port, 'key-9'), '401');
+});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,12 +3,14 @@
 import {ConnectionPool} from './connection-pool.js';
 import type {Dialect} from './dialect.js';
 import {EntryJournal} from './events.js';
+import {GroupWatch, type GroupProbe} from './group-watch.js';
+import {PeerExchange} from './peers.js';
 import {followConfig, followEndpoints, sleep, type Register} from './register.js';
 import type {FlowParts} from './request-flow.js';
 import {StatusServer, type StatusAnswer} from './status-server.js';
 import {RetryBudget} from '#coordination';
 import {
-	ConfigHolder, EndpointDirectory, EndpointHealth, LoadBoard, readInstant,
+	ConfigHolder, EndpointDirectory, EndpointHealth, LoadBoard, readInstant, type EndpointRecord,
 } from '#dispatch';
 import type {Logger, Metrics} from '#telemetry';
 
@@ -17,6 +19,8 @@
 	readonly zone: string;
 	readonly callers: {readonly host: string; readonly port: number};
 	readonly ready: {readonly host: string; readonly port: number};
+	/** Where other entries connect, and a few addresses to find them by; undefined for an entry on its own. */
+	readonly peers: {readonly host: string; readonly port: number; readonly seeds: readonly string[]} | undefined;
 	/** Age of the configuration from which keys are no longer trusted, in ms; undefined if they are for ever. */
 	readonly keyTrustMs: number | undefined;
 	readonly retry: {
@@ -28,6 +32,8 @@
 	};
 	/** Time from the signal to stop until the process is killed, in ms. */
 	readonly graceMs: number;
+	/** Tells whether the group of an endpoint runs. */
+	readonly probeGroup: GroupProbe;
 	readonly dialect: Dialect;
 	readonly register: Register;
 	readonly logger: Logger;
@@ -74,6 +80,9 @@
 			pool: ConnectionPool.create(steady, this.#stop.signal),
 			dialect: options.dialect,
 			journal: this.#journal,
+			groups: GroupWatch.create({
+				probe: options.probeGroup, endpointsOf: service => this.#groupMembers(service), journal: this.#journal, random: Math.random,
+			}, this.#stop.signal),
 			budgetOf: service => this.#budgetOf(service),
 			keyTrustMs: options.keyTrustMs,
 			now: readInstant,
@@ -134,6 +143,13 @@
 		};
 		void followConfig(follow, signal);
 		void followEndpoints(follow, signal);
+		if (options.peers !== undefined) {
+			const {host, port, seeds} = options.peers;
+			await PeerExchange.create({
+				address: `${host}:${port}`, host, port, seeds, config: this.config, directory: this.directory, load: this.#parts.load, journal: this.#journal, now: readInstant,
+			}, signal);
+		}
+
 		this.#callers = await CallerServer.create({...options.callers, parts: this.#parts, dialect: options.dialect});
 		await StatusServer.create(options.ready.host, options.ready.port, async path => this.#status(path), signal);
 		const upkeep = setInterval(() => {
@@ -154,6 +170,12 @@
 		return this.isReady ? {status: 200, body: 'ready\n'} : {status: 503, body: 'not ready\n'};
 	}
 
+	/** Endpoints of a service whose endpoints run in lock-step; none of another. */
+	#groupMembers(service: string): readonly EndpointRecord[] {
+		const hasGroups = this.config.current?.services.get(service)?.experts !== undefined;
+		return hasGroups ? this.directory.endpointsOf(service, performance.now()) : [];
+	}
+
 	#budgetOf(service: string): RetryBudget {
 		let budget = this.#budgets.get(service);
 		if (budget === undefined) {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -4,6 +4,7 @@
 } from './dialect.js';
 export {ConnectionPool, type ConnectionTarget, type OpenedConnection} from './connection-pool.js';
 export {Gateway, type GatewayOptions} from './gateway.js';
+export type {GroupProbe} from './group-watch.js';
 export {EntryJournal, type EntryEvent, type RequestFacts} from './events.js';
 export {refusalOf, retryAfterSeconds, type Refusal, type RefusalReason} from './refusals.js';
 export {RequestFlow, type FlowParts} from './request-flow.js';
--- a/packages/gateway/src/refusals.ts
+++ b/packages/gateway/src/refusals.ts
@@ -11,6 +11,8 @@
 	| 'body-too-large'
 	/** The service has no endpoint. */
 	| 'no-endpoint'
+	/** The group behind the service has lost a rank and did not form again in time. */
+	| 'group-stopped'
 	/** All endpoints are full. */
 	| 'overload'
 	/** The endpoint did not run the request, and it may not be sent again. */
@@ -39,6 +41,7 @@
 	'unknown-key': 401,
 	'body-too-large': 413,
 	'no-endpoint': 503,
+	'group-stopped': 503,
 	overload: 503,
 	'not-run': 503,
 	unreachable: 503,
@@ -52,11 +55,14 @@
 	return {reason, status, mayReturn: status === 503};
 }
 
-/** Shortest pause before a refused caller returns, in seconds: a few steps of a batch. */
-const SHORTEST_RETRY_S = 0.1;
+/** A pause that refused callers are told, in seconds: the shortest, and the spread that keeps them from returning together. */
+type Pause = {readonly shortestS: number; readonly spreadS: number};
 
-/** Spread of the pauses, in seconds, so that refused callers do not return together. */
-const RETRY_SPREAD_S = 0.4;
+/** A full endpoint has free slots again after a few steps of its batch. */
+const SHORT_PAUSE: Pause = {shortestS: 0.1, spreadS: 0.4};
+
+/** A group that lost a rank forms again after some seconds; callers that return sooner are only refused again. */
+const GROUP_PAUSE: Pause = {shortestS: 2, spreadS: 1};
 
 /** Callers honour a pause up to this share of the time that they have left. */
 const HONOURED_SHARE = 1 / 3;
@@ -67,7 +73,10 @@
  * @param leftMs - Time that the caller has left, in ms.
  * @param random - In [0, 1).
  */
-export function retryAfterSeconds(leftMs: number, random: number): number {
-	const wanted = SHORTEST_RETRY_S + (random * RETRY_SPREAD_S);
-	return Math.round(Math.max(0, Math.min(wanted, (leftMs / 1000) * HONOURED_SHARE)) * 1000) / 1000;
+export function retryAfterSeconds(reason: RefusalReason, leftMs: number, random: number): number {
+	const {shortestS, spreadS} = reason === 'group-stopped' ? GROUP_PAUSE : SHORT_PAUSE;
+	const honouredS = (leftMs / 1000) * HONOURED_SHARE;
+	// A pause that the caller would cut short is spread below its bound instead.
+	const wanted = shortestS + spreadS > honouredS ? honouredS - (random * Math.min(spreadS, honouredS / 4)) : shortestS + (random * spreadS);
+	return Math.round(Math.max(0, wanted) * 1000) / 1000;
 }
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -7,12 +7,13 @@
 import type {ConnectionPool} from './connection-pool.js';
 import type {CallerRequest, Dialect} from './dialect.js';
 import type {EntryJournal, RequestFacts} from './events.js';
+import type {GroupWatch} from './group-watch.js';
 import {refusalOf, retryAfterSeconds, type RefusalReason} from './refusals.js';
 import {relayStream, type StreamEnd} from './stream-relay.js';
 import type {RetryBudget} from '#coordination';
 import {unreachable} from '#core';
 import {
-	choosePlace, pickService, type AttemptOutcome, type Candidate, type ConfigHolder, type EndpointDirectory, type EndpointHealth, type EndpointRecord, type FleetConfig, type Instant, type LoadBoard, type Route,
+	backlogFor, choosePlace, isLate, pickService, placesFor, urgencyOf, type AttemptOutcome, type Candidate, type ConfigHolder, type EndpointDirectory, type EndpointHealth, type EndpointRecord, type FleetConfig, type Instant, type LoadBoard, type Route, type UrgencyInput, type Workspace,
 } from '#dispatch';
 
 /** What the flow of all requests shares. */
@@ -24,6 +25,7 @@
 	readonly pool: ConnectionPool;
 	readonly dialect: Dialect;
 	readonly journal: EntryJournal;
+	readonly groups: GroupWatch;
 	/** Retries that this entry may send to a service. */
 	readonly budgetOf: (service: string) => RetryBudget;
 	/** Age of the configuration from which keys are no longer trusted, in ms; undefined if keys may be trusted for ever. */
@@ -47,8 +49,8 @@
 /** A stream without its first event after this time is sent elsewhere, in ms: callers leave after 2 s without one, and a stalled group answers after 1.5 s. */
 const STREAM_SILENCE_MS = 1700;
 
-/** An endpoint counts as full when this many times its slots are taken; a short queue there keeps its slots busy. */
-const FULL_SHARE = 2;
+/** Longest wait for a stopped group, in ms since the request arrived or its last event was passed on: callers leave 2 s after that. */
+const GROUP_WAIT_MS = 1700;
 
 type Terminal = {readonly kind: 'done'} | {readonly kind: 'refuse'; readonly reason: RefusalReason; readonly detail?: string};
 
@@ -60,13 +62,14 @@
 	readonly #startedAt: Instant;
 	readonly #tried = new Set<string>();
 	#route: Route | undefined;
-	#workspace: string | undefined;
+	#workspace: Workspace | undefined;
 	#service = '';
 	#attempts = 0;
 	#connectFailures = 0;
 	#mayHaveRun = false;
 	#firstByteMs = 0;
 	#lastEventId: number | undefined;
+	#lastEventAt: number | undefined;
 	#lastEndpoint = '';
 	#detail = '';
 
@@ -128,7 +131,7 @@
 			return {kind: 'refuse', reason: 'unknown-key'};
 		}
 
-		this.#workspace = workspace.name;
+		this.#workspace = workspace;
 		return undefined;
 	}
 
@@ -157,6 +160,10 @@
 				return this.#outOfTime();
 			}
 
+			if (!await this.#groupsRun()) {
+				return this.#cannotGoOn('group-stopped');
+			}
+
 			const place = this.#choose(route);
 			if (place.kind === 'none') {
 				return this.#cannotGoOn(place.reason);
@@ -170,6 +177,19 @@
 		}
 	}
 
+	/** Waits for a stopped group as long as the caller would. */
+	async #groupsRun(): Promise<boolean> {
+		const {groups, directory, load} = this.parts;
+		if (!groups.isStopped(this.#service)) {
+			return true;
+		}
+
+		const now = this.#steady();
+		const sinceMs = now - (this.#lastEventAt ?? this.#startedAt.steadyMs);
+		const slots = directory.endpointsOf(this.#service, now).reduce((sum, endpoint) => sum + endpoint.slots, 0);
+		return groups.waitUntilRunning(this.#service, {ms: GROUP_WAIT_MS - sinceMs, backlog: backlogFor(slots, load.entries(now)), signal: this.reply.left});
+	}
+
 	#choose(route: Route): {readonly kind: 'place'; readonly endpoint: EndpointRecord} | {readonly kind: 'none'; readonly reason: RefusalReason} {
 		const {directory, health, load, random} = this.parts;
 		const now = this.#steady();
@@ -183,7 +203,7 @@
 			id, slots, inFlight: load.inFlight(id, now), failureRatio: health.failureRatio(id), isAvoided: health.isAvoided(id, now),
 		}));
 		const chosen = choosePlace(candidates, random)!;
-		if (chosen.inFlight >= chosen.slots * FULL_SHARE && route.kind.kind === 'stream' && this.#attempts === 0) {
+		if (route.kind.kind === 'stream' && !this.reply.isStarted && chosen.inFlight >= placesFor(chosen.slots, isLate(this.#urgencyInput(route)))) {
 			return {kind: 'none', reason: 'overload'};
 		}
 
@@ -200,7 +220,7 @@
 			body: this.body,
 			endpoint,
 			passedOn: {
-				endpointId: endpoint.id, workspace: this.#workspace, priority: route.priority, lastEventId: this.#lastEventId,
+				endpointId: endpoint.id, workspace: this.#workspace?.name, priority: urgencyOf(this.#urgencyInput(route)), lastEventId: this.#lastEventId,
 			},
 			isStream: route.kind.kind === 'stream',
 			mayReuse: mayRepeat(route),
@@ -223,6 +243,12 @@
 		return end;
 	}
 
+	#urgencyInput(route: Route): UrgencyInput {
+		return {
+			priority: this.#workspace?.priority ?? route.priority, targetMs: route.targetMs, elapsedMs: this.#elapsedMs(), waitMs: this.req.waitMs, timeoutMs: route.timeoutMs,
+		};
+	}
+
 	#silenceMs(route: Route): number {
 		const left = this.#remainingMs(route);
 		if (!mayRepeat(route) || this.#attempts + 1 >= route.maxAttempts) {
@@ -244,6 +270,7 @@
 
 			case 'not-run': {
 				this.#noteOutcome(end.atFault ?? endpoint.id, end.isMisdirected ? 'misdirected' : 'full');
+				await this.parts.groups.check(this.#service);
 				return this.#afterFailure(route, endpoint, {outcome: 'not-run', detail: String(end.status), otherwise: 'not-run', mayAgain: true});
 			}
 
@@ -344,6 +371,7 @@
 			endAfterMs: this.#remainingMs(route),
 		});
 		this.#lastEventId = end.lastEventId;
+		this.#lastEventAt = end.lastEventAt;
 		if (end.kind !== 'complete') {
 			exchange.abort();
 		}
@@ -366,6 +394,7 @@
 
 			case 'broken': {
 				this.#noteOutcome(endpoint.id, 'broken');
+				await this.parts.groups.check(this.#service);
 				return this.#afterFailure(route, endpoint, {outcome: 'stream broke', detail: end.reason, otherwise: 'unknown-outcome', mayAgain: mayRepeat(route)});
 			}
 
@@ -399,7 +428,7 @@
 
 	#refuse(reason: RefusalReason, detail: string): void {
 		const {status, mayReturn} = refusalOf(reason);
-		const retryAfterS = mayReturn ? retryAfterSeconds(this.#callerLeftMs(), this.parts.random()) : undefined;
+		const retryAfterS = mayReturn ? retryAfterSeconds(reason, this.#callerLeftMs(), this.parts.random()) : undefined;
 		const headers = [...this.parts.dialect.ownHeaders(this.req), ...(retryAfterS === undefined ? [] : ['Retry-After', String(retryAfterS)])];
 		this.reply.sendWhole(status, headers, Buffer.from(`${reason}\n`));
 		this.parts.journal.record({
@@ -429,7 +458,7 @@
 		return {
 			requestId: this.req.id,
 			route: this.#route?.name,
-			workspace: this.#workspace,
+			workspace: this.#workspace?.name,
 			configVersion: config.current?.version,
 			configAgeMs: Number.isFinite(age) ? Math.round(age) : undefined,
 			attempts: this.#attempts,
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -5,12 +5,18 @@
 import type {Exchange} from './exchange.js';
 import {EventSplitter} from '#dispatch';
 
+type RelayEnd
+	= | {readonly kind: 'complete'}
+		| {readonly kind: 'broken'; readonly reason: string}
+		| {readonly kind: 'out-of-time'}
+		| {readonly kind: 'caller-left'};
+
 /** How the relay of one endpoint's stream ended. */
-export type StreamEnd = {readonly lastEventId: number | undefined} & (
-	| {readonly kind: 'complete'}
-	| {readonly kind: 'broken'; readonly reason: string}
-	| {readonly kind: 'out-of-time'}
-	| {readonly kind: 'caller-left'});
+export type StreamEnd = {
+	readonly lastEventId: number | undefined;
+	/** When the last event was passed on, or the relay began, in steady ms. */
+	readonly lastEventAt: number;
+} & RelayEnd;
 
 export type RelayInput = {
 	readonly res: IncomingMessage;
@@ -28,14 +34,15 @@
 
 export async function relayStream({res, exchange, reply, head, lastEventId, silenceMs, endAfterMs}: RelayInput): Promise<StreamEnd> {
 	const splitter = EventSplitter.create(lastEventId);
+	let lastEventAt = performance.now();
 	let hasHead = head === undefined;
 	return new Promise(resolve => {
-		const finish = (end: StreamEnd) => {
+		const finish = (end: RelayEnd) => {
 			clearTimeout(endTimer);
 			clearTimeout(silenceTimer);
 			reply.left.removeEventListener('abort', onLeft);
 			res.off('data', onData).off('end', onEnd).off('close', onClose);
-			resolve(end);
+			resolve({...end, lastEventId: splitter.lastId, lastEventAt});
 		};
 
 		const sendHead = () => {
@@ -52,6 +59,7 @@
 				return;
 			}
 
+			lastEventAt = performance.now();
 			sendHead();
 			if (!reply.write(whole)) {
 				res.pause();
@@ -61,32 +69,32 @@
 
 		const onEnd = () => {
 			if (isUnframed(res)) {
-				finish({kind: 'broken', reason: 'ended without framing', lastEventId: splitter.lastId});
+				finish({kind: 'broken', reason: 'ended without framing'});
 				return;
 			}
 
 			if (!res.complete || exchange.isBroken || splitter.pendingBytes > 0) {
-				finish({kind: 'broken', reason: 'ended inside an event', lastEventId: splitter.lastId});
+				finish({kind: 'broken', reason: 'ended inside an event'});
 				return;
 			}
 
 			sendHead();
-			finish({kind: 'complete', lastEventId: splitter.lastId});
+			finish({kind: 'complete'});
 		};
 
 		const onClose = () => {
-			finish({kind: 'broken', reason: 'connection closed', lastEventId: splitter.lastId});
+			finish({kind: 'broken', reason: 'connection closed'});
 		};
 
 		const onLeft = () => {
-			finish({kind: 'caller-left', lastEventId: splitter.lastId});
+			finish({kind: 'caller-left'});
 		};
 
 		const silenceTimer = setTimeout(() => {
-			finish({kind: 'broken', reason: 'silent', lastEventId: splitter.lastId});
+			finish({kind: 'broken', reason: 'silent'});
 		}, silenceMs);
 		const endTimer = setTimeout(() => {
-			finish({kind: 'out-of-time', lastEventId: splitter.lastId});
+			finish({kind: 'out-of-time'});
 		}, Math.max(0, endAfterMs));
 		reply.left.addEventListener('abort', onLeft, {once: true});
 		res.on('error', () => {
--- a/packages/rankagent/src/agent.ts
+++ b/packages/rankagent/src/agent.ts
@@ -37,6 +37,9 @@
 /** How often the coordinator reads where the members are, in ms; members change when replicas do. */
 const DIRECTORY_MS = 2500;
 
+/** How often it reads them while the states do not show a whole group, in ms: a replica was just replaced. */
+const UNCLEAR_DIRECTORY_MS = 400;
+
 /** Longest time that a stopping agent goes on to complete a switch, in ms. */
 const STOP_LIMIT_MS = 5000;
 
@@ -95,7 +98,8 @@
 			return WATCH_MS;
 		}
 
-		if (performance.now() - this.#listedAt > DIRECTORY_MS && own.value.heldStep === undefined) {
+		const age = performance.now() - this.#listedAt;
+		if ((age > DIRECTORY_MS || (age > UNCLEAR_DIRECTORY_MS && this.#coordinator.isUnclear)) && own.value.heldStep === undefined) {
 			await this.#list();
 		}
 
--- a/packages/rankagent/src/coordinator.ts
+++ b/packages/rankagent/src/coordinator.ts
@@ -77,6 +77,11 @@
 		return this.#lastPhase === 'holding' || this.#lastPhase === 'arming' || this.#lastPhase === 'releasing';
 	}
 
+	/** Whether the last states did not show a whole group. */
+	get isUnclear(): boolean {
+		return this.#lastPhase === 'unclear';
+	}
+
 	/**
 	 * One turn: reads all ranks, decides, gives the orders.
 	 *
--- a/packages/rankagent/src/index.ts
+++ b/packages/rankagent/src/index.ts
@@ -5,3 +5,4 @@
 export {Coordinator, type CoordinatorParts, type GroupMember} from './coordinator.js';
 export type {AgentRequest, OrderOutcome, RankEngine, RankHoldings} from './engine.js';
 export {engineBehind} from './remote-engine.js';
+export {AgentGroupProbe} from './group-probe.js';
