Complete a held switch when its coordinator died

Ruled out: the protocol itself (the fuzz completes from every state). Change: members are listed when unknown, from the store or else from the entries; the agent of rank 1 stands in after 0.7 s, by the same decisions.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -10,3 +10,4 @@
 export {RequestFlow, type FlowParts} from './request-flow.js';
 export type {EndpointChange, Register, RegisterAnswer} from './register.js';
 export {CallerServer} from './caller-server.js';
+export {askEntriesForEndpoints} from './peers.js';
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -12,8 +12,8 @@
 
 /** Question of one entry to another. */
 export type PeerQuestion = {
-	/** `HOST:PORT` of the entry that asks. */
-	readonly from: string;
+	/** `HOST:PORT` of the entry that asks; undefined for another process. */
+	readonly from: string | undefined;
 	readonly load: LoadCounts;
 	/** Version that it has; 0 for none. */
 	readonly configVersion: number;
@@ -32,8 +32,10 @@
 	/** Its configuration, if it is newer than that of the asker. */
 	readonly config: FleetConfigParts | undefined;
 	readonly left: readonly LeftEndpoint[];
-	/** Its endpoints, if they were wanted and it can read the register. */
+	/** Its endpoints, if they were wanted. */
 	readonly endpoints: readonly EndpointRecord[] | undefined;
+	/** Whether it can read the register. */
+	readonly isRegisterInReach: boolean;
 };
 
 export type PeerParts = {
@@ -145,7 +147,7 @@
 			directory.noteLeft(left);
 		}
 
-		if (answer.endpoints !== undefined && (!directory.isInReach || directory.size === 0)) {
+		if (answer.endpoints !== undefined && (directory.size === 0 || (answer.isRegisterInReach && !directory.isInReach))) {
 			directory.replaceAll(answer.endpoints, now().steadyMs);
 		}
 	}
@@ -153,8 +155,11 @@
 	async #answer(question: PeerQuestion): Promise<PeerAnswer> {
 		const {config, directory, load, now} = this.parts;
 		const at = now();
-		load.notePeer(question.from, question.load, at.steadyMs);
-		this.#learn([question.from]);
+		if (question.from !== undefined) {
+			load.notePeer(question.from, question.load, at.steadyMs);
+			this.#learn([question.from]);
+		}
+
 		const {current} = config;
 		return {
 			load: load.ownCounts(),
@@ -163,7 +168,8 @@
 			configAgeMs: current === undefined ? undefined : config.ageMs(at),
 			config: current !== undefined && current.version > question.configVersion ? current.parts : undefined,
 			left: directory.left(),
-			endpoints: question.wantsEndpoints && directory.isInReach ? directory.records() : undefined,
+			endpoints: question.wantsEndpoints ? directory.records() : undefined,
+			isRegisterInReach: directory.isInReach,
 		};
 	}
 
@@ -194,3 +200,24 @@
 		}
 	}
 }
+
+/** Time for an answer to a process that is no entry, in ms. */
+const OUTSIDE_TIMEOUT_MS = 300;
+
+/** Asks entries for the endpoints that they know, one after the other; undefined if none answers. For processes that cannot read the register. */
+export async function askEntriesForEndpoints(addresses: readonly string[]): Promise<readonly EndpointRecord[] | undefined> {
+	for (const address of addresses) {
+		const link = RequestLink.create(address);
+		const question: PeerQuestion = {
+			from: undefined, load: {}, configVersion: Number.MAX_SAFE_INTEGER, wantsEndpoints: true,
+		};
+		const answer = await link.ask(question, OUTSIDE_TIMEOUT_MS);
+		link.close();
+		const endpoints = answer.kind === 'ok' ? (answer.value as PeerAnswer).endpoints : undefined;
+		if (endpoints !== undefined && endpoints.length > 0) {
+			return endpoints;
+		}
+	}
+
+	return undefined;
+}
--- /dev/null
+++ b/packages/rankagent/__tests__/unit/agent.test.ts
@@ -0,0 +1,135 @@
+/** Agents beside the ranks of a simulated group, over loopback. */
+import {once} from 'node:events';
+import {createServer, type AddressInfo} from 'node:net';
+import t, {type Test} from 'tap';
+import {SimulatedGroup} from '../../../rankmap/__tests__/simulated-group.js';
+import {failed, ok} from '#core';
+import {RankAgent, type RankEngine} from '#rankagent';
+import type {GroupMap, RankOrder} from '#rankmap';
+import {createSilentLogger, Metrics} from '#telemetry';
+
+const SIZE = 4;
+const hosts = ['127.0.0.1', '127.0.0.2', '127.0.0.3', '127.0.0.4'];
+const experts = {
+	sets: 1, experts: 8, places: 4, spare: 2,
+};
+
+/** An engine whose copies take no time. Demand is on the experts of rank 0. */
+function engineOf(group: SimulatedGroup, rank: number): RankEngine {
+	let counted = 0;
+	return {
+		state: async () => ok(group.state(rank)),
+		async counts() {
+			counted += 100_000;
+			return ok({epoch: group.epoch, counts: [counted, counted / 2, 10, 10, counted, 10, 10, 10]});
+		},
+		holdings: async () => ok({version: group.state(rank).map, experts: [[rank, rank + SIZE]]}),
+		async order(order: RankOrder) {
+			const result = group.carryOut(order);
+			group.finishCopy(order.rank);
+			return result === 409 ? 'refused' : (result === 202 ? 'begun' : 'already');
+		},
+	};
+}
+
+async function startAgents(t: Test, group: SimulatedGroup, ranks: readonly number[]): Promise<void> {
+	const port = await freePort();
+	for (const rank of ranks) {
+		const agent = await RankAgent.create({
+			name: `agent-${rank}`,
+			host: hosts[rank]!,
+			port,
+			own: engineOf(group, rank),
+			engineAt: address => engineOf(group, Number(address)),
+			directory: {read: async () => ({members: hosts.map((host, other) => ({host, engine: String(other)})).filter((_, other) => other !== rank), experts})},
+			logger: createSilentLogger(),
+			metrics: Metrics.create(),
+		});
+		t.teardown(async () => agent.stop());
+	}
+}
+
+async function freePort(): Promise<number> {
+	const server = createServer();
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const {port} = server.address() as AddressInfo;
+	server.close();
+	await once(server, 'close');
+	return port;
+}
+
+/** Runs passes until `done` or the limit; returns whether it was reached. */
+async function runUntil(group: SimulatedGroup, done: () => boolean, limitMs: number): Promise<boolean> {
+	const startedAt = performance.now();
+	while (!done() && performance.now() - startedAt < limitMs) {
+		group.pass();
+		await new Promise(resolve => {
+			setTimeout(resolve, 20);
+		});
+	}
+
+	return done();
+}
+
+/** Brings a group to the point at which its coordinator died: all prepared, rank 0 held, `armed` ranks armed. */
+function stopMidway(group: SimulatedGroup, armed: number): void {
+	const map: GroupMap = [[[0, 4], [1, 5], [2, 6], [3, 7, 0]]];
+	const give = (rank: number, action: RankOrder['action']) => {
+		const {epoch, sequence} = group.state(rank);
+		group.carryOut({
+			rank, epoch, sequence, action,
+		});
+		group.finishCopy(rank);
+	};
+
+	for (let rank = 0; rank < SIZE; rank += 1) {
+		give(rank, {kind: 'prepare', version: 7, map});
+	}
+
+	give(0, {kind: 'hold', step: 2});
+	for (let rank = 0; rank < armed; rank += 1) {
+		give(rank, {kind: 'arm', version: 7, step: 2});
+	}
+}
+
+t.test('the map follows demand', async t => {
+	const group = SimulatedGroup.create(SIZE);
+	await startAgents(t, group, [0, 1, 2, 3]);
+	t.ok(await runUntil(group, () => group.state(3).map > 0, 10_000), 'a new map is in use');
+});
+
+for (const armed of [0, 2, 4]) {
+	t.test(`agents that start while the group is held with ${armed} ranks armed let it go on`, async t => {
+		const group = SimulatedGroup.create(SIZE);
+		stopMidway(group, armed);
+		await startAgents(t, group, [0, 1, 2, 3]);
+		t.ok(await runUntil(group, () => group.step > 2, 10_000));
+		t.ok(group.state(3).map >= 7, 'on the map that was begun');
+	});
+
+	t.test(`the agent of rank 1 completes the switch if that of rank 0 is gone, with ${armed} ranks armed`, async t => {
+		const group = SimulatedGroup.create(SIZE);
+		stopMidway(group, armed);
+		await startAgents(t, group, [1, 2, 3]);
+		t.ok(await runUntil(group, () => group.step > 2, 10_000));
+		t.equal(group.state(3).map, 7);
+	});
+}
+
+t.test('nothing changes while a rank does not answer', async t => {
+	const group = SimulatedGroup.create(SIZE);
+	const port = await freePort();
+	const agent = await RankAgent.create({
+		name: 'agent-0',
+		host: hosts[0]!,
+		port,
+		own: engineOf(group, 0),
+		engineAt: () => ({...engineOf(group, 1), state: async () => failed('down')}),
+		directory: {read: async () => ({members: [], experts})},
+		logger: createSilentLogger(),
+		metrics: Metrics.create(),
+	});
+	t.teardown(async () => agent.stop());
+	t.notOk(await runUntil(group, () => group.state(0).sequence > 0, 1500));
+});
--- a/packages/rankagent/src/agent.ts
+++ b/packages/rankagent/src/agent.ts
@@ -4,7 +4,7 @@
 import {engineBehind} from './remote-engine.js';
 import {ok, unreachable} from '#core';
 import {RequestLink, RequestServer} from '#links';
-import type {ExpertShape} from '#rankmap';
+import type {ExpertShape, RankState} from '#rankmap';
 import type {Logger, Metrics} from '#telemetry';
 
 /** Where the members of a group are. */
@@ -40,6 +40,12 @@
 /** How often it reads them while the states do not show a whole group, in ms: a replica was just replaced. */
 const UNCLEAR_DIRECTORY_MS = 400;
 
+/** The rank whose agent completes a switch if the coordinator is gone. */
+const STAND_IN_RANK = 1;
+
+/** A switch that is prepared but not made for so long is taken to be stuck, in ms; it usually takes some 100 ms. */
+const STAND_IN_AFTER_MS = 700;
+
 /** Longest time that a stopping agent goes on to complete a switch, in ms. */
 const STOP_LIMIT_MS = 5000;
 
@@ -59,6 +65,7 @@
 	#members: readonly GroupMember[] = [];
 	#experts: GroupListing['experts'];
 	#listedAt = Number.NEGATIVE_INFINITY;
+	#unfinishedSince: number | undefined;
 	#isLeaving = false;
 	#isReachable = true;
 
@@ -94,18 +101,66 @@
 	async #turn(): Promise<number> {
 		const own = await this.options.own.state();
 		this.#noteReach(own.kind === 'ok', own.kind === 'failed' ? own.failure : '');
-		if (own.kind === 'failed' || own.value.rank !== 0 || !own.value.isOpen) {
+		if (own.kind === 'failed' || !own.value.isOpen || own.value.rank > STAND_IN_RANK) {
 			return WATCH_MS;
 		}
 
-		const age = performance.now() - this.#listedAt;
-		if ((age > DIRECTORY_MS || (age > UNCLEAR_DIRECTORY_MS && this.#coordinator.isUnclear)) && own.value.heldStep === undefined) {
-			await this.#list();
+		if (own.value.rank === STAND_IN_RANK) {
+			return this.#standIn(own.value);
 		}
 
+		await this.#listIfDue(own.value.heldStep !== undefined);
 		return this.#coordinator.turn(own.value, !this.#isLeaving);
 	}
 
+	/** Rank 1 completes a switch whose coordinator died; the protocol stays safe if that one wakes up. */
+	async #standIn(state: RankState): Promise<number> {
+		const isUnfinished = state.prepared !== undefined && state.prepared > state.map;
+		this.#unfinishedSince = isUnfinished ? (this.#unfinishedSince ?? performance.now()) : undefined;
+		if (this.#unfinishedSince === undefined) {
+			this.#coordinator.reset();
+			return WATCH_MS;
+		}
+
+		if (performance.now() - this.#unfinishedSince < STAND_IN_AFTER_MS) {
+			return WATCH_MS;
+		}
+
+		await this.#listIfDue(true);
+		const holder = await this.#findSilentHolder(state);
+		if (holder === undefined) {
+			return WATCH_MS;
+		}
+
+		this.options.logger.warn('standing in for the coordinator', {epoch: state.epoch, step: state.step, prepared: state.prepared, armed: state.armed});
+		return this.#coordinator.completeFor(holder);
+	}
+
+	/** The engine of rank 0 and its state, if the agent beside it does not answer. */
+	async #findSilentHolder(state: RankState): Promise<{readonly engine: RankEngine; readonly state: RankState} | undefined> {
+		for (const {agent, direct} of this.#members) {
+			if ((await agent.state()).kind === 'ok') {
+				continue;
+			}
+
+			const answer = await direct.state();
+			if (answer.kind === 'ok' && answer.value.rank === 0 && answer.value.group === state.group) {
+				return {engine: direct, state: answer.value};
+			}
+		}
+
+		return undefined;
+	}
+
+	async #listIfDue(isHeld: boolean): Promise<void> {
+		const age = performance.now() - this.#listedAt;
+		const isUnclear = this.#members.length === 0 || this.#coordinator.isUnclear;
+		// While the group waits, the store is only asked if the members are not known.
+		if (age > (isUnclear ? UNCLEAR_DIRECTORY_MS : DIRECTORY_MS) && (isUnclear || !isHeld)) {
+			await this.#list();
+		}
+	}
+
 	async #list(): Promise<void> {
 		this.#listedAt = performance.now();
 		const listing = await this.options.directory.read(this.#stop.signal);
--- a/packages/rankagent/src/coordinator.ts
+++ b/packages/rankagent/src/coordinator.ts
@@ -119,7 +119,30 @@
 		}
 	}
 
+	/** Forgets the phase when this process has no part in a switch. */
+	reset(): void {
+		this.#lastPhase = '';
+	}
+
+	/** One turn for another coordinator that is gone: completes what it began, without plans of its own. */
+	async completeFor(holder: Reached): Promise<number> {
+		const members = this.parts.others();
+		const states = [holder, ...await this.#readOthers(holder.state, [...members, {agent: this.parts.own, direct: this.parts.own}])];
+		const step = nextMapStep(states.map(({state}) => state), undefined);
+		this.#tell(step, holder.state);
+		if (step.kind === 'order') {
+			await Promise.all(step.orders.map(async order => this.#give(order, states)));
+		}
+
+		return REST_MS.preparing;
+	}
+
 	async #readStates(own: RankState, members: readonly GroupMember[]): Promise<readonly Reached[]> {
+		return [{state: own, engine: this.parts.own}, ...await this.#readOthers(own, members)];
+	}
+
+	/** The states of the other ranks of the holder's group. */
+	async #readOthers(own: RankState, members: readonly GroupMember[]): Promise<readonly Reached[]> {
 		const others = await Promise.all(members.map(async ({agent, direct}): Promise<Reached | undefined> => {
 			const state = await agent.state();
 			if (state.kind === 'ok') {
@@ -133,7 +156,7 @@
 			const far = await direct.state();
 			return far.kind === 'ok' ? {state: far.value, engine: direct} : undefined;
 		}));
-		return [{state: own, engine: this.parts.own}, ...others.filter(reached => reached?.state.group === own.group) as Reached[]];
+		return others.filter((reached): reached is Reached => reached?.state.group === own.group && reached.state.rank !== own.rank);
 	}
 
 	async #give(order: RankOrder, states: readonly Reached[]): Promise<OrderOutcome> {
--- a/packages/rankmap/__tests__/unit/map-change.fuzz.test.ts
+++ b/packages/rankmap/__tests__/unit/map-change.fuzz.test.ts
@@ -35,7 +35,8 @@
 	states: RankState[] = [];
 	pending: RankOrder[] = [];
 
-	constructor(readonly group: SimulatedGroup, readonly takeVersion: () => number) {}
+	/** @param takeVersion - Undefined for a stand-in, which only completes what another began. */
+	constructor(readonly group: SimulatedGroup, readonly takeVersion: (() => number) | undefined) {}
 
 	/** One small action: reads one rank, or decides, or hands over one order. */
 	act(): RankOrder | undefined {
@@ -51,7 +52,7 @@
 
 		const step = nextMapStep(this.states, this.plan);
 		this.states = [];
-		if (step.kind === 'settled') {
+		if (step.kind === 'settled' && this.takeVersion !== undefined) {
 			const version = this.takeVersion();
 			this.plan = {version, map: [[[version]]]};
 		} else if (step.kind === 'order') {
@@ -63,7 +64,7 @@
 }
 
 /** Plays one case; returns the switches made. */
-function playCase(numbers: readonly number[], faults: {readonly late: number; readonly death: number; readonly crash: number}): number {
+function playCase(numbers: readonly number[], faults: {readonly late: number; readonly death: number; readonly crash: number; readonly standIn: number}): number {
 	const chance = new Chance(numbers);
 	const group = SimulatedGroup.create(SIZE);
 	let version = 0;
@@ -73,9 +74,10 @@
 	};
 
 	let coordinator = new Coordinator(group, takeVersion);
+	const standIn = new Coordinator(group, undefined);
 	const late: RankOrder[] = [];
 	for (let i = 0; i < STEPS; i += 1) {
-		const order = coordinator.act();
+		const order = (chance.next(100) < faults.standIn ? standIn : coordinator).act();
 		if (order !== undefined) {
 			send(order, group, late, chance, faults.late);
 		}
@@ -159,10 +161,11 @@
 }
 
 const faultMixes = [
-	{name: 'no faults', late: 0, death: 0, crash: 0},
-	{name: 'orders lost, late and doubled', late: 40, death: 0, crash: 0},
-	{name: 'and a coordinator that dies', late: 40, death: 30, crash: 0},
-	{name: 'and ranks that crash', late: 30, death: 20, crash: 8},
+	{name: 'no faults', late: 0, death: 0, crash: 0, standIn: 0},
+	{name: 'orders lost, late and doubled', late: 40, death: 0, crash: 0, standIn: 0},
+	{name: 'and a coordinator that dies', late: 40, death: 30, crash: 0, standIn: 0},
+	{name: 'and ranks that crash', late: 30, death: 20, crash: 8, standIn: 0},
+	{name: 'and a stand-in that acts at the same time', late: 30, death: 20, crash: 4, standIn: 40},
 ];
 
 for (const {name, ...faults} of faultMixes) {
