--- a/packages/gateway/__tests__/gateway-harness.ts
+++ b/packages/gateway/__tests__/gateway-harness.ts
@@ -198,6 +198,7 @@
 		zone: 'a',
 		callers: {host: '127.0.0.1', port},
 		ready: {host: '127.0.0.1', port: ready},
+		metricsAddress: {host: '127.0.0.1', port: 0},
 		peers,
 		keyTrustMs,
 		retry: {fraction: 0.2, windowMs: 10_000, slack: 100},
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,6 +21,8 @@
 	readonly zone: string;
 	readonly callers: {readonly host: string; readonly port: number};
 	readonly ready: {readonly host: string; readonly port: number};
+	/** Address of the metrics at `/metrics`. */
+	readonly metricsAddress: {readonly host: string; readonly port: number};
 	/** Where other entries connect, and a few addresses to find them by; undefined for an entry on its own. */
 	readonly peers: {readonly host: string; readonly port: number; readonly seeds: readonly string[]} | undefined;
 	/** Age of the configuration from which keys are no longer trusted, in ms; undefined if they are for ever. */
@@ -155,7 +157,9 @@
 		}
 
 		this.#callers = await CallerServer.create({...options.callers, parts: this.#parts, dialect: options.dialect});
-		await serveStatus(options.ready.host, options.ready.port, async path => this.#status(path), signal);
+		await serveStatus(options.ready.host, options.ready.port, async () => this.#status(), signal);
+		const {metricsAddress} = options;
+		await serveStatus(metricsAddress.host, metricsAddress.port, async () => ({status: 200, body: await options.metrics.expose()}), signal);
 		const upkeep = setInterval(() => {
 			this.directory.expire(performance.now());
 			this.#callers?.setIdleLimit(this.config.current?.limits.idleTimeoutMs ?? 60_000);
@@ -170,11 +174,7 @@
 		});
 	}
 
-	async #status(path: string): Promise<StatusAnswer> {
-		if (path === '/metrics') {
-			return {status: 200, body: await this.#options.metrics.expose()};
-		}
-
+	#status(): StatusAnswer {
 		return this.isReady ? {status: 200, body: 'ready\n'} : {status: 503, body: 'not ready\n'};
 	}
 
