Let a slow rank shed its experts

Change: the planner weighs a rank's load by its pace, and lets copies that others hold leave a rank at no cost.

--- a/packages/rankagent/src/coordinator.ts
+++ b/packages/rankagent/src/coordinator.ts
@@ -195,8 +195,9 @@
 			return;
 		}
 
-		const proposal = planMap(map, this.#window.load(), shape, {minGainPerCopy: MIN_GAIN_PER_COPY});
-		if (proposal.copies === 0 || proposal.before - proposal.after < MIN_GAIN) {
+		const paces = states.toSorted((a, b) => a.state.rank - b.state.rank).map(({state}) => state.pace);
+		const proposal = planMap(map, this.#window.load(), shape, {minGainPerCopy: MIN_GAIN_PER_COPY, paces});
+		if (proposal.before - proposal.after < MIN_GAIN) {
 			return;
 		}
 
@@ -204,7 +205,7 @@
 		const version = Math.max(highest + 1, Math.floor(this.#parts.wallMs()));
 		this.#plan = {version, map: proposal.map, madeAt: performance.now()};
 		this.#parts.logger.info('map planned', {
-			version, epoch: own.epoch, step: own.step, copies: proposal.copies, skewBefore: round(proposal.before), skewAfter: round(proposal.after), tokens: Math.round(this.#window.total()),
+			version, epoch: own.epoch, step: own.step, copies: proposal.copies, slowestPace: Math.max(...paces), skewBefore: round(proposal.before), skewAfter: round(proposal.after), tokens: Math.round(this.#window.total()),
 		});
 	}
 
--- a/packages/rankmap/__tests__/unit/set-planner.test.ts
+++ b/packages/rankmap/__tests__/unit/set-planner.test.ts
@@ -67,3 +67,17 @@
 	t.same(window.load(), [[3.5, 1]]);
 	t.end();
 });
+
+await t.test('a slow rank sheds its experts', async t => {
+	const load = demand(0);
+	const paces = Array.from({length: shape.ranks}, (_, rank) => rank === 5 ? 6 : 1);
+	let map = initialMap(shape);
+	for (let change = 0; change < 4; change += 1) {
+		({map} = planMap(map, load, shape, {minGainPerCopy: 0.02, paces}));
+	}
+
+	const loads = rankLoadsOf(map[0]!, load[0]!);
+	const mean = loads.reduce((sum, value) => sum + value, 0) / loads.length;
+	t.ok(loads[5]! * 6 < mean * 2, `the slow rank has ${loads[5]! / mean} of the mean load`);
+	t.ok(skewOfMap(map, load, paces) < 2, `time of the slowest ${skewOfMap(map, load, paces)}`);
+});
--- a/packages/rankmap/src/set-planner.ts
+++ b/packages/rankmap/src/set-planner.ts
@@ -18,6 +18,8 @@
 };
 
 export type PlannerOptions = {
+	/** Time of each rank for its work against a sound one; a slow rank gets less. All are sound if left out. */
+	readonly paces?: readonly number[];
 	/** A copy must lower the fullest rank of its set by this share of the mean load of a rank; smaller gains do not pay for the copy. */
 	readonly minGainPerCopy: number;
 };
@@ -43,12 +45,12 @@
 	return placement.map(experts => experts.reduce((sum, expert) => sum + ((load[expert] ?? 0) / Math.max(1, copies[expert] ?? 1)), 0));
 }
 
-/** Load of the fullest rank over the mean, averaged over the sets; 1 without load. */
-export function skewOfMap(map: GroupMap, load: ExpertLoad): number {
+/** Time of the slowest rank over the mean load, averaged over the sets; 1 without load. */
+export function skewOfMap(map: GroupMap, load: ExpertLoad, paces: readonly number[] = []): number {
 	const skews = map.map((placement, set) => {
 		const loads = rankLoadsOf(placement, load[set] ?? []);
 		const mean = loads.reduce((sum, value) => sum + value, 0) / loads.length;
-		return mean === 0 ? 1 : Math.max(...loads) / mean;
+		return mean === 0 ? 1 : Math.max(...loads.map((value, rank) => value * (paces[rank] ?? 1))) / mean;
 	});
 	return skews.reduce((sum, value) => sum + value, 0) / Math.max(1, skews.length);
 }
@@ -63,12 +65,12 @@
 		return search.placement();
 	});
 	return {
-		map: next, copies, before: skewOfMap(map, load), after: skewOfMap(next, load),
+		map: next, copies, before: skewOfMap(map, load, options.paces), after: skewOfMap(next, load, options.paces),
 	};
 }
 
-/** One change of a set: an expert comes to a rank, and perhaps another one leaves it. */
-type Move = {readonly rank: number; readonly add: number; readonly drop: number | undefined};
+/** One change of a set: an expert comes to a rank, or leaves it, or both. */
+type Move = {readonly rank: number; readonly add: number | undefined; readonly drop: number | undefined};
 
 class SetSearch {
 	static create(placement: ReadonlyArray<readonly number[]>, load: readonly number[], shape: ExpertShape, options: PlannerOptions): SetSearch {
@@ -106,7 +108,7 @@
 			return;
 		}
 
-		const most = this.#shape.ranks * this.#shape.spare;
+		const most = this.#shape.ranks * this.#shape.spare * 2;
 		for (let i = 0; i < most; i += 1) {
 			const best = this.#bestMove();
 			if (best === undefined) {
@@ -114,14 +116,15 @@
 			}
 
 			this.#apply(best);
-			this.copies += 1;
+			this.copies += best.add === undefined ? 0 : 1;
 		}
 	}
 
 	#bestMove(): Move | undefined {
-		const fullest = indexOfMax(this.#loads);
+		const times = this.#loads.map((value, rank) => value * this.#paceOf(rank));
+		const fullest = indexOfMax(times);
 		const before = this.#penalty();
-		const targets = range(this.#loads.length).toSorted((a, b) => this.#loads[a]! - this.#loads[b]!).slice(0, TARGET_RANKS);
+		const targets = range(this.#loads.length).toSorted((a, b) => times[a]! - times[b]!).slice(0, TARGET_RANKS);
 		let best: Move | undefined;
 		let bestPenalty = before;
 		for (const add of this.#ranks[fullest]!) {
@@ -140,6 +143,16 @@
 			}
 		}
 
+		// A copy that other ranks hold too leaves at no cost.
+		for (const drop of this.#ranks[fullest]!) {
+			const move = {rank: fullest, add: undefined, drop};
+			const penalty = this.#holders[drop]! > 1 ? this.#penaltyAfter(move) : bestPenalty;
+			if (penalty < bestPenalty - TOLERANCE) {
+				bestPenalty = penalty;
+				best = move;
+			}
+		}
+
 		const gain = this.#smoothMax(before) - this.#smoothMax(bestPenalty);
 		return best !== undefined && gain >= this.#options.minGainPerCopy ? best : undefined;
 	}
@@ -169,7 +182,7 @@
 	}
 
 	#penalty(): number {
-		return this.#loads.reduce((sum, value) => sum + ((value / this.#mean) ** PENALTY_POWER), 0) / this.#loads.length;
+		return this.#loads.reduce((sum, value, rank) => sum + ((value * this.#paceOf(rank) / this.#mean) ** PENALTY_POWER), 0) / this.#loads.length;
 	}
 
 	/** The fullest rank that a penalty stands for, as a multiple of the mean. */
@@ -177,6 +190,10 @@
 		return (penalty * this.#loads.length) ** (1 / PENALTY_POWER);
 	}
 
+	#paceOf(rank: number): number {
+		return this.#options.paces?.[rank] ?? 1;
+	}
+
 	#penaltyAfter(move: Move): number {
 		const undo = this.#shift(move);
 		const penalty = this.#penalty();
@@ -187,7 +204,10 @@
 	/** Changes the loads as a move would; returns how to change them back. */
 	#shift({rank, add, drop}: Move): () => void {
 		const saved = [...this.#loads];
-		this.#share(add, rank, 1);
+		if (add !== undefined) {
+			this.#share(add, rank, 1);
+		}
+
 		if (drop !== undefined) {
 			this.#share(drop, rank, -1);
 		}
@@ -216,8 +236,11 @@
 	#apply(move: Move): void {
 		this.#shift(move);
 		const experts = this.#ranks[move.rank]!;
-		experts.add(move.add);
-		this.#holders[move.add]! += 1;
+		if (move.add !== undefined) {
+			experts.add(move.add);
+			this.#holders[move.add]! += 1;
+		}
+
 		if (move.drop !== undefined) {
 			experts.delete(move.drop);
 			this.#holders[move.drop]! -= 1;
--- a/packages/rankmap/src/types.ts
+++ b/packages/rankmap/src/types.ts
@@ -39,6 +39,8 @@
 	readonly armed: {readonly version: number; readonly step: number} | undefined;
 	/** Step that does not begin until it is released. */
 	readonly heldStep: number | undefined;
+	/** Time that it takes for its work against a sound rank; over 1 means slow. */
+	readonly pace: number;
 	/** Whether an order is in progress. */
 	readonly isBusy: boolean;
 };
