Let any agent complete a held switch

Ruled out: the entry (it had closed its connections when its callers left). Change: each agent may stand in, 0.25 s later for each rank; the decisions are the same for all. Figures: agent.test with agents of ranks 2 and 3 alone held for good before, goes on after 1 s now.

--- a/packages/rankagent/__tests__/unit/agent.test.ts
+++ b/packages/rankagent/__tests__/unit/agent.test.ts
@@ -99,6 +99,14 @@
 	t.ok(await runUntil(group, () => group.state(3).map > 0, 10_000), 'a new map is in use');
 });
 
+void t.test('any agent completes the switch if those of ranks 0 and 1 are gone', async t => {
+	const group = SimulatedGroup.create(SIZE);
+	stopMidway(group, 2);
+	await startAgents(t, group, [2, 3]);
+	t.ok(await runUntil(group, () => group.step > 2, 10_000));
+	t.equal(group.state(3).map, 7);
+});
+
 for (const armed of [0, 2, 4]) {
 	void t.test(`agents that start while the group is held with ${armed} ranks armed let it go on`, async t => {
 		const group = SimulatedGroup.create(SIZE);
--- a/packages/rankagent/src/agent.ts
+++ b/packages/rankagent/src/agent.ts
@@ -40,12 +40,12 @@
 /** How often it reads them while the states do not show a whole group, in ms: a replica was just replaced. */
 const UNCLEAR_DIRECTORY_MS = 400;
 
-/** The rank whose agent completes a switch if the coordinator is gone. */
-const STAND_IN_RANK = 1;
-
 /** A switch that is prepared but not made for so long is taken to be stuck, in ms; it usually takes some 100 ms. */
 const STAND_IN_AFTER_MS = 700;
 
+/** Each further rank waits this much longer, in ms: usually one agent alone stands in. */
+const STAND_IN_STEP_MS = 250;
+
 /** Longest time that a stopping agent goes on to complete a switch, in ms. */
 const STOP_LIMIT_MS = 5000;
 
@@ -103,11 +103,11 @@
 	async #turn(): Promise<number> {
 		const own = await this.#options.own.state();
 		this.#noteReach(own.kind === 'ok', own.kind === 'failed' ? own.failure : '');
-		if (own.kind === 'failed' || !own.value.isOpen || own.value.rank > STAND_IN_RANK) {
+		if (own.kind === 'failed' || !own.value.isOpen) {
 			return WATCH_MS;
 		}
 
-		if (own.value.rank === STAND_IN_RANK) {
+		if (own.value.rank > 0) {
 			return this.#standIn(own.value);
 		}
 
@@ -115,7 +115,7 @@
 		return this.#coordinator.turn(own.value, !this.#isLeaving);
 	}
 
-	/** Rank 1 completes a switch whose coordinator died; the protocol stays safe if that one wakes up. */
+	/** Completes a switch whose coordinator died; the protocol stays safe if that one wakes up, or others stand in too. */
 	async #standIn(state: RankState): Promise<number> {
 		const isUnfinished = state.prepared !== undefined && state.prepared > state.map;
 		this.#unfinishedSince = isUnfinished ? (this.#unfinishedSince ?? performance.now()) : undefined;
@@ -124,7 +124,7 @@
 			return WATCH_MS;
 		}
 
-		if (performance.now() - this.#unfinishedSince < STAND_IN_AFTER_MS) {
+		if (performance.now() - this.#unfinishedSince < STAND_IN_AFTER_MS + ((state.rank - 1) * STAND_IN_STEP_MS)) {
 			return WATCH_MS;
 		}
 
