Find package.json from the new output folder

Seen as 'entry-1 did not start' in configuration.test. Ruled out: load (the path is wrong on an idle machine too).

--- a/packages/cli/src/bin.ts
+++ b/packages/cli/src/bin.ts
@@ -6,7 +6,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {runCli} from '#cli';
 
-const manifest = JSON.parse(readFileSync(new URL('../../../package.json', import.meta.url), 'utf8')) as {readonly version: string};
+const manifest = JSON.parse(readFileSync(new URL('../../../../package.json', import.meta.url), 'utf8')) as {readonly version: string};
 
 // A reader such as `head` may close the pipe early; the command has done its work by then.
 process.stdout.on('error', (error: NodeJS.ErrnoException) => {
--- a/packages/gateway/__tests__/gateway-harness.ts
+++ b/packages/gateway/__tests__/gateway-harness.ts
@@ -5,6 +5,7 @@
 	connect, createServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
 import type {Test} from 'tap';
+import {sleep} from '../src/register.js';
 import {FleetConfig, type EndpointRecord, type Route} from '#dispatch';
 import {
 	Gateway, type GatewayOptions, type Dialect, type EndpointChange, type Register, type RegisterAnswer,
@@ -172,13 +173,7 @@
 	readonly listEndpoints = async () => this.#answer({records: this.records, revision: 1});
 
 	readonly watchEndpoints = async (revision: number, _waitMs: number, signal: AbortSignal) => {
-		await new Promise<void>(resolve => {
-			const timer = setTimeout(resolve, 100);
-			signal.addEventListener('abort', () => {
-				clearTimeout(timer);
-				resolve();
-			});
-		});
+		await sleep(100, signal);
 		return this.#answer({changes: this.records.map((record): EndpointChange => ({kind: 'put', record})), revision});
 	};
 
