--- a/packages/gateway/__tests__/gateway-harness.ts
+++ b/packages/gateway/__tests__/gateway-harness.ts
@@ -5,7 +5,7 @@
 	connect, createServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
 import type {Test} from 'tap';
-import {sleep} from '../src/register.js';
+import {sleep} from '#core';
 import {FleetConfig, type EndpointRecord, type Route} from '#dispatch';
 import {
 	Gateway, type GatewayOptions, type Dialect, type EndpointChange, type Register, type RegisterAnswer,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,12 +5,11 @@
 import {EntryJournal} from './events.js';
 import {GroupWatch, type GroupProbe} from './group-watch.js';
 import {PeerExchange} from './peers.js';
-import {
-	followConfig, followEndpoints, sleep, type Register,
-} from './register.js';
+import {followConfig, followEndpoints, type Register} from './register.js';
 import type {FlowParts} from './request-flow.js';
 import {serveStatus, type StatusAnswer} from './status-server.js';
 import {RetryBudget} from '#coordination';
+import {sleep} from '#core';
 import {
 	ConfigHolder, EndpointDirectory, EndpointHealth, LoadBoard, readInstant, type EndpointRecord,
 } from '#dispatch';
@@ -117,13 +116,12 @@
 		const startedAt = performance.now();
 		this.#journal.record({kind: 'lifecycle', step: 'stopping', detail: {openRequests: this.#callers?.open}});
 		this.#callers?.beginLeaving();
-		const never = new AbortController().signal;
-		await sleep(Math.min(BALANCER_DELAY_MS, this.#options.graceMs / 2), never);
+		await sleep(Math.min(BALANCER_DELAY_MS, this.#options.graceMs / 2));
 		this.#callers?.stopListening();
 		while ((this.#callers?.open ?? 0) > 0 && performance.now() - startedAt < this.#options.graceMs - STOP_MARGIN_MS) {
 			// An answer that began before the stop did not announce the end of its connection.
 			this.#callers?.closeIdle();
-			await sleep(STOP_POLL_MS, never);
+			await sleep(STOP_POLL_MS);
 		}
 
 		this.#stop.abort();
--- a/packages/gateway/src/group-watch.ts
+++ b/packages/gateway/src/group-watch.ts
@@ -3,8 +3,8 @@
  * it has formed again, some seconds later, so requests sent meanwhile only use up their attempts. They wait here
  * instead for as long as their callers would, and the rest is told when to come back.
  */
-import {sleep} from './register.js';
 import type {EntryJournal} from './events.js';
+import {sleep} from '#core';
 import type {EndpointRecord} from '#dispatch';
 
 /** Asks the agent beside an endpoint whether its group runs; undefined if there is no answer. */
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -3,8 +3,9 @@
  * that leave. The register may serve one entry and turn its neighbour away, so each asks the others when
  * its own readings grow old. An age is only taken from an answer to one's own question, counted from when it was asked.
  */
-import {sleep, tellAdopted} from './register.js';
 import type {EntryJournal} from './events.js';
+import {tellAdopted} from './register.js';
+import {sleep} from '#core';
 import {
 	FleetConfig, type ConfigHolder, type EndpointDirectory, type EndpointRecord, type FleetConfigParts, type Instant, type LeftEndpoint, type LoadBoard, type LoadCounts,
 } from '#dispatch';
--- a/packages/gateway/src/register.ts
+++ b/packages/gateway/src/register.ts
@@ -1,5 +1,6 @@
 /** The platform's register as an entry reads it. An adapter implements the calls; the following is done here. */
 import type {EntryJournal} from './events.js';
+import {sleep} from '#core';
 import type {
 	ConfigHolder, EndpointDirectory, EndpointRecord, FleetConfig, Instant,
 } from '#dispatch';
@@ -145,21 +146,3 @@
 		}
 	}
 }
-
-/** Waits; ends at once when the signal aborts. */
-export async function sleep(ms: number, signal: AbortSignal): Promise<void> {
-	if (ms <= 0 || signal.aborted) {
-		return;
-	}
-
-	await new Promise<void>(resolve => {
-		const done = () => {
-			clearTimeout(timer);
-			signal.removeEventListener('abort', done);
-			resolve();
-		};
-
-		const timer = setTimeout(done, ms);
-		signal.addEventListener('abort', done, {once: true});
-	});
-}
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -1,8 +1,9 @@
 /**
- * The way of one request: what the configuration allows, then attempts until an answer is complete.
- * What may be sent again follows from the route alone. The loop stands once, for plain answers and streams.
+ * The attempts of one request until an answer is complete, for plain answers and streams alike.
+ * What may be sent again follows from the route alone.
  */
 import {Buffer} from 'node:buffer';
+import {admit, maySend, type AdmissionParts} from './admission.js';
 import {runAttempt, type AttemptEnd} from './attempt.js';
 import type {CallerReply} from './caller-reply.js';
 import type {ConnectionPool} from './connection-pool.js';
@@ -13,12 +14,11 @@
 import {relayStream, type StreamEnd} from './stream-relay.js';
 import type {RetryBudget} from '#coordination';
 import {
-	backlogFor, choosePlace, isLate, pickService, placesFor, urgencyOf, type AttemptOutcome, type Candidate, type ConfigHolder, type EndpointDirectory, type EndpointHealth, type EndpointRecord, type FleetConfig, type Instant, type LoadBoard, type Route, type UrgencyInput, type Workspace,
+	backlogFor, choosePlace, isLate, placesFor, urgencyOf, type AttemptOutcome, type Candidate, type EndpointDirectory, type EndpointHealth, type EndpointRecord, type Instant, type LoadBoard, type Route, type UrgencyInput, type Workspace,
 } from '#dispatch';
 
 /** What the flow of all requests shares. */
-export type FlowParts = {
-	readonly config: ConfigHolder;
+export type FlowParts = AdmissionParts & {
 	readonly directory: EndpointDirectory;
 	readonly health: EndpointHealth;
 	readonly load: LoadBoard;
@@ -28,10 +28,6 @@
 	readonly groups: GroupWatch;
 	/** Retries that this entry may send to a service. */
 	readonly budgetOf: (service: string) => RetryBudget;
-	/** Age of the configuration from which keys are no longer trusted, in ms; undefined if keys may be trusted for ever. */
-	readonly keyTrustMs: number | undefined;
-	readonly now: () => Instant;
-	readonly random: () => number;
 };
 
 /** A failed connection costs nothing, but each takes time; after so many the caller is told to come back. */
@@ -88,8 +84,7 @@
 
 	/** Serves the request. Never rejects. */
 	async run(): Promise<void> {
-		const admitted = this.#admit();
-		const end = admitted.kind === 'refuse' ? admitted : await this.#attemptUntilDone(admitted.route);
+		const end = await this.#serve();
 		if (this.#reply.left.aborted) {
 			this.#parts.journal.record({kind: 'caller-left', facts: this.#facts()});
 			return;
@@ -100,62 +95,22 @@
 		}
 	}
 
-	#admit(): {readonly kind: 'admitted'; readonly route: Route} | Extract<Terminal, {kind: 'refuse'}> {
-		const config = this.#parts.config.current;
-		if (config === undefined) {
-			return {kind: 'refuse', reason: 'no-configuration'};
+	async #serve(): Promise<Terminal> {
+		const admission = admit(this.#parts, this.#req);
+		this.#route = admission.route;
+		if (admission.kind === 'refused') {
+			return {kind: 'refuse', reason: admission.reason, detail: admission.detail};
 		}
 
-		const route = config.findRoute(this.#req.host, this.#req.path);
-		if (route === undefined) {
-			return {kind: 'refuse', reason: 'unknown-route'};
-		}
-
-		this.#route = route;
-		if (config.usesKeys && !route.isPublic) {
-			const refusal = this.#checkKey(config);
-			if (refusal !== undefined) {
-				return refusal;
-			}
-		}
-
-		const service = pickService(route.shares, this.#parts.random());
-		if (service === undefined) {
-			return {kind: 'refuse', reason: 'no-endpoint', detail: 'the route has no service'};
-		}
-
-		this.#service = service;
-		this.#parts.budgetOf(service).noteRequest(this.#steady());
-		return {kind: 'admitted', route};
-	}
-
-	#checkKey(config: FleetConfig): Extract<Terminal, {kind: 'refuse'}> | undefined {
-		if (!this.#keysAreTrusted()) {
-			return {kind: 'refuse', reason: 'stale-keys'};
-		}
-
-		const workspace = this.#req.key === undefined ? undefined : config.findWorkspace(this.#req.key);
-		if (workspace === undefined) {
-			return {kind: 'refuse', reason: 'unknown-key'};
-		}
-
-		this.#workspace = workspace;
-		return undefined;
-	}
-
-	#keysAreTrusted(): boolean {
-		const {keyTrustMs, config, now} = this.#parts;
-		return keyTrustMs === undefined || config.ageMs(now()) < keyTrustMs;
+		this.#workspace = admission.workspace;
+		this.#service = admission.service;
+		this.#parts.budgetOf(admission.service).noteRequest(this.#steady());
+		return this.#attemptUntilDone(admission.route);
 	}
 
 	/** Whether the request may be sent at this very moment. */
 	#maySend(): boolean {
-		const config = this.#parts.config.current;
-		if (config === undefined || this.#workspace === undefined) {
-			return config !== undefined;
-		}
-
-		return this.#keysAreTrusted() && config.findWorkspace(this.#req.key ?? '') !== undefined;
+		return maySend(this.#parts, this.#req, this.#workspace);
 	}
 
 	async #attemptUntilDone(route: Route): Promise<Terminal> {
--- a/packages/rankagent/src/agent.ts
+++ b/packages/rankagent/src/agent.ts
@@ -2,7 +2,7 @@
 import {Coordinator, type GroupMember} from './coordinator.js';
 import type {AgentRequest, RankEngine} from './engine.js';
 import {engineBehind} from './remote-engine.js';
-import {ok} from '#core';
+import {ok, sleep} from '#core';
 import {RequestLink, RequestServer} from '#links';
 import type {ExpertShape, RankState} from '#rankmap';
 import type {Logger, Metrics} from '#telemetry';
@@ -87,7 +87,7 @@
 		this.#isLeaving = true;
 		const startedAt = performance.now();
 		while (this.#coordinator.isSwitching && performance.now() - startedAt < STOP_LIMIT_MS) {
-			await rest(20);
+			await sleep(20);
 		}
 
 		this.#stop.abort();
@@ -96,7 +96,7 @@
 
 	async #run(): Promise<void> {
 		while (!this.#stop.signal.aborted) {
-			await rest(await this.#turn());
+			await sleep(await this.#turn(), this.#stop.signal);
 		}
 	}
 
@@ -217,9 +217,3 @@
 		}
 	}
 }
-
-async function rest(ms: number): Promise<void> {
-	await new Promise(resolve => {
-		setTimeout(resolve, ms);
-	});
-}
--- a/packages/rankmap/__tests__/simulated-group.ts
+++ b/packages/rankmap/__tests__/simulated-group.ts
@@ -112,11 +112,6 @@
 				return 202;
 			}
 
-			case 'disarm': {
-				rank.armed = undefined;
-				return 202;
-			}
-
 			case 'hold': {
 				if (rank.held === action.step) {
 					return 200;
--- a/packages/rankmap/src/types.ts
+++ b/packages/rankmap/src/types.ts
@@ -54,7 +54,6 @@
 	readonly action:
 		| {readonly kind: 'prepare'; readonly version: number; readonly map: GroupMap}
 		| {readonly kind: 'arm'; readonly version: number; readonly step: number}
-		| {readonly kind: 'disarm'; readonly version: number}
 		| {readonly kind: 'hold'; readonly step: number}
 		| {readonly kind: 'go'; readonly step: number};
 };
