Send expert counters between agents as changes, and plan with a part of the ranks

Cause: beside 63 ranks the coordinator asked all agents for 2,016 counters each; 0.6 MB over a link of 5.6 Mbit/s takes longer than the 300 ms that an answer may take. One missing rank forbade any plan, so the map changed once, before the load began. Ruled out: the planner's thresholds (with counts it plans every 1 to 3 s) and unknown maps; the new line 'no map planned' tells the reason. Change: an agent answers with what changed since the last answer that the asker took; counts have 1.2 s; half of the ranks are enough, as requests are spread evenly and the rest comes with the next answer.

--- a/packages/rankagent/src/agent.ts
+++ b/packages/rankagent/src/agent.ts
@@ -1,4 +1,5 @@
 /** The process beside one rank: gives a coordinator fresh readings and carries its orders to the engine; beside rank 0 it is the coordinator. */
+import {CountsSender} from './count-changes.js';
 import {Coordinator, type GroupMember} from './coordinator.js';
 import type {AgentRequest, RankEngine} from './engine.js';
 import {engineBehind} from './remote-engine.js';
@@ -60,7 +61,8 @@
 	}
 
 	readonly #stop = new AbortController();
-	readonly #links = new Map<string, RequestLink>();
+	readonly #agents = new Map<string, RankEngine>();
+	readonly #counts = CountsSender.create();
 	readonly #coordinator: Coordinator;
 	#members: readonly GroupMember[] = [];
 	#experts: GroupListing['experts'];
@@ -175,18 +177,18 @@
 
 		this.#experts = listing.experts ?? this.#experts;
 		this.#members = listing.members.map(({host, engine}) => ({
-			agent: engineBehind(this.#linkTo(`${host}:${this.#options.port}`)), direct: this.#options.engineAt(engine),
+			agent: this.#agentAt(`${host}:${this.#options.port}`), direct: this.#options.engineAt(engine),
 		}));
 	}
 
-	#linkTo(address: string): RequestLink {
-		let link = this.#links.get(address);
-		if (link === undefined) {
-			link = RequestLink.create(address);
-			this.#links.set(address, link);
+	#agentAt(address: string): RankEngine {
+		let agent = this.#agents.get(address);
+		if (agent === undefined) {
+			agent = engineBehind(RequestLink.create(address));
+			this.#agents.set(address, agent);
 		}
 
-		return link;
+		return agent;
 	}
 
 	async #answer(request: AgentRequest): Promise<unknown> {
@@ -197,7 +199,8 @@
 			}
 
 			case 'counts': {
-				return own.counts();
+				const reading = await own.counts();
+				return reading.kind === 'ok' ? ok(this.#counts.answer(reading.value, request.since)) : reading;
 			}
 
 			case 'holdings': {
--- a/packages/rankagent/src/coordinator.ts
+++ b/packages/rankagent/src/coordinator.ts
@@ -2,6 +2,7 @@
  * Keeps a group's expert map in line with demand. It runs beside rank 0, whose engine it holds during a switch,
  * so that no partition comes between the coordinator and the hold. All decisions are made from fresh states.
  */
+import type {CountsReading} from './count-changes.js';
 import type {OrderOutcome, RankEngine} from './engine.js';
 import type {Result} from '#core';
 import {
@@ -50,6 +51,9 @@
 /** Tokens that the window must hold for a plan; fewer say nothing about demand. */
 const MIN_TOKENS = 20_000;
 
+/** Share of the ranks whose counts are enough for a plan: requests are spread evenly, so half of them show the demand. */
+const MIN_TOLD_SHARE = 0.5;
+
 /** A copy must lower the fullest rank by this share of a rank's mean load; below that its cost is not earned back before demand shifts again. */
 const MIN_GAIN_PER_COPY = 0.06;
 
@@ -64,11 +68,12 @@
 		return new Coordinator(parts);
 	}
 
-	#plan: (MapPlan & {readonly madeAt: number}) | undefined;
+	#plan: Plan | undefined;
 	/** Content of the map in use, by version and epoch. */
 	#map: {readonly epoch: number; readonly version: number; readonly map: GroupMap} | undefined;
 	#window: LoadWindow | undefined;
 	#lastPhase = '';
+	#noPlanReason = '';
 	readonly #parts: CoordinatorParts;
 
 	private constructor(parts: CoordinatorParts) {
@@ -175,43 +180,50 @@
 	}
 
 	async #makePlan(states: readonly Reached[], own: RankState): Promise<void> {
-		this.#plan = undefined;
+		const planned = await this.#planFor(states, own);
+		this.#plan = typeof planned === 'string' ? undefined : planned;
+		this.#tellNoPlan(typeof planned === 'string' ? planned : '', own);
+	}
+
+	/** A map that pays, or why there is none. */
+	async #planFor(states: readonly Reached[], own: RankState): Promise<Plan | string> {
 		const experts = this.#parts.experts();
 		if (experts === undefined) {
-			return;
+			return 'the experts of the service are not known';
 		}
 
 		const shape: ExpertShape = {...experts, ranks: own.size};
-
 		const counts = await this.#readCounts(states);
 		const map = await this.#mapInUse(states, own);
 		if (counts === undefined || map === undefined) {
-			return;
+			return counts === undefined ? 'too few ranks told their counts' : 'the map in use is not known';
 		}
 
 		this.#window ??= LoadWindow.create(shape.sets, shape.experts, WINDOW_KEEP);
 		this.#window.add(counts);
 		if (this.#window.total() < MIN_TOKENS) {
-			return;
+			return 'too few tokens were counted';
 		}
 
 		const paces = states.toSorted((a, b) => a.state.rank - b.state.rank).map(({state}) => state.pace);
 		const proposal = planMap(map, this.#window.load(), shape, {minGainPerCopy: MIN_GAIN_PER_COPY, paces});
 		if (proposal.before - proposal.after < MIN_GAIN) {
-			return;
+			return 'no change gains enough';
 		}
 
 		const highest = Math.max(...states.map(({state}) => Math.max(state.map, state.prepared ?? 0)));
 		const version = Math.max(highest + 1, Math.floor(this.#parts.wallMs()));
-		this.#plan = {version, map: proposal.map, madeAt: performance.now()};
 		this.#parts.logger.info('map planned', {
 			version, epoch: own.epoch, step: own.step, copies: proposal.copies, slowestPace: Math.max(...paces), skewBefore: round(proposal.before), skewAfter: round(proposal.after), tokens: Math.round(this.#window.total()),
 		});
+		return {version, map: proposal.map, madeAt: performance.now()};
 	}
 
 	async #readCounts(states: readonly Reached[]): Promise<readonly RankCounts[] | undefined> {
 		const all = await Promise.all(states.map(async ({state, engine}) => withRank(await engine.counts(), state.rank)));
-		return all.includes(undefined) ? undefined : all as RankCounts[];
+		const told = all.filter(counts => counts !== undefined);
+		// What the others counted meanwhile comes with their next answer.
+		return told.length < states.length * MIN_TOLD_SHARE ? undefined : told;
 	}
 
 	/** The map in use: the one planned here, else as the ranks tell. */
@@ -244,6 +256,16 @@
 		}
 	}
 
+	/** Tells a reason once until it changes. */
+	#tellNoPlan(reason: string, own: RankState): void {
+		if (reason !== this.#noPlanReason) {
+			this.#noPlanReason = reason;
+			if (reason !== '') {
+				this.#parts.logger.info('no map planned', {epoch: own.epoch, step: own.step, map: own.map, reason});
+			}
+		}
+	}
+
 	#tell(step: MapStep, own: RankState): void {
 		const phase = step.kind === 'settled' || step.kind === 'unclear' ? step.kind : step.phase;
 		if (phase === this.#lastPhase) {
@@ -257,9 +279,12 @@
 	}
 }
 
+/** A planned map and when it was made, in steady ms. */
+type Plan = MapPlan & {readonly madeAt: number};
+
 type Reached = {readonly state: RankState; readonly engine: RankEngine};
 
-function withRank(counts: Result<Omit<RankCounts, 'rank'>, string>, rank: number): RankCounts | undefined {
+function withRank(counts: Result<CountsReading, string>, rank: number): RankCounts | undefined {
 	return counts.kind === 'ok' ? {...counts.value, rank} : undefined;
 }
 
--- a/packages/rankagent/src/engine.ts
+++ b/packages/rankagent/src/engine.ts
@@ -1,8 +1,7 @@
 /** One rank's engine, as an agent or a coordinator uses it. An adapter implements the calls. */
+import type {CountsReading} from './count-changes.js';
 import type {Result} from '#core';
-import type {
-	RankCounts, RankExperts, RankOrder, RankState,
-} from '#rankmap';
+import type {RankExperts, RankOrder, RankState} from '#rankmap';
 
 /** What became of an order. Without an answer it may act now, later, or never. */
 export type OrderOutcome = 'begun' | 'already' | 'refused' | 'no-answer';
@@ -13,7 +12,7 @@
 export type RankEngine = {
 	readonly state: () => Promise<Result<RankState, string>>;
 	/** Counters of tokens by expert; reading them from another machine pauses the group. */
-	readonly counts: () => Promise<Result<Omit<RankCounts, 'rank'>, string>>;
+	readonly counts: () => Promise<Result<CountsReading, string>>;
 	readonly holdings: () => Promise<Result<RankHoldings, string>>;
 	readonly order: (order: RankOrder) => Promise<OrderOutcome>;
 };
@@ -21,6 +20,7 @@
 /** Requests of a coordinator to the agent beside a rank. */
 export type AgentRequest
 	= | {readonly kind: 'state'}
-		| {readonly kind: 'counts'}
+		/** `since` names the last answer that the asker took. */
+		| {readonly kind: 'counts'; readonly since: number | undefined}
 		| {readonly kind: 'holdings'}
 		| {readonly kind: 'order'; readonly order: RankOrder};
--- a/packages/rankagent/src/remote-engine.ts
+++ b/packages/rankagent/src/remote-engine.ts
@@ -1,21 +1,31 @@
 /** A rank's engine reached through the agent beside it. */
+import {CountsReceiver, type CountsAnswer} from './count-changes.js';
 import type {AgentRequest, OrderOutcome, RankEngine} from './engine.js';
-import {failed, type Result} from '#core';
+import {failed, ok, type Result} from '#core';
 import type {RequestLink} from '#links';
 
 /** Time for an answer of another agent, in ms: a round trip across zones and a call of its engine. */
 const ASK_TIMEOUT_MS = 300;
 
+/** Time for an answer with counters, in ms: those of 63 ranks come over one replica's link of 5.6 Mbit/s at once. */
+const COUNTS_TIMEOUT_MS = 1200;
+
+/** Keeps what it was told of the counters, so one engine is used as long as its link. */
 export function engineBehind(link: RequestLink): RankEngine {
-	const ask = async <Value>(request: AgentRequest): Promise<Result<Value, string>> => {
-		const answer = await link.ask(request, ASK_TIMEOUT_MS);
+	const counts = CountsReceiver.create();
+	const ask = async <Value>(request: AgentRequest, timeoutMs = ASK_TIMEOUT_MS): Promise<Result<Value, string>> => {
+		const answer = await link.ask(request, timeoutMs);
 		// The agent answers with the result of its engine.
 		return answer.kind === 'failed' ? failed(answer.failure) : answer.value as Result<Value, string>;
 	};
 
 	return {
 		state: async () => ask({kind: 'state'}),
-		counts: async () => ask({kind: 'counts'}),
+		async counts() {
+			const answer = await ask<CountsAnswer>({kind: 'counts', since: counts.since}, COUNTS_TIMEOUT_MS);
+			const reading = answer.kind === 'failed' ? undefined : counts.take(answer.value);
+			return answer.kind === 'failed' ? answer : (reading === undefined ? failed('counts follow on an answer that was lost') : ok(reading));
+		},
 		holdings: async () => ask({kind: 'holdings'}),
 		async order(order) {
 			const answer = await ask<OrderOutcome>({kind: 'order', order});
