Let one entry read the configuration, and collect changes of endpoints

Ruled out: longer pauses between reads, which a change in force within 2 s does not allow. Change: entries tell one another how old their confirmation is anyway. After changes of endpoints a watch pauses for 200 ms.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -9,6 +9,7 @@
 } from './endpoint-directory.js';
 export {EndpointHealth, type AttemptOutcome} from './endpoint-health.js';
 export {choosePlace, type Candidate} from './placement.js';
+export {readAtAgeMs} from './reading-turn.js';
 export {EventSplitter, type SplitEvents} from './event-splitter.js';
 export {LoadBoard, PEER_LOAD_LIFETIME_MS, type LoadCounts} from './load-board.js';
 export {
--- a/packages/gateway/__tests__/unit/peers.test.ts
+++ b/packages/gateway/__tests__/unit/peers.test.ts
@@ -69,3 +69,24 @@
 	t.equal(await statusOf(port, 'key-1'), '200');
 	t.equal(await statusOf(port, 'key-9'), '401');
 });
+
+void t.test('one of two entries reads the configuration, the other one when it fails', async t => {
+	const {registers, ports} = await startPair(t);
+	await pause(1500);
+	const before = registers.map(({reads}) => reads);
+	await pause(3000);
+	const [first, second] = registers.map(({reads}, i) => reads - before[i]!) as [number, number];
+	t.ok(first + second >= 2 && first + second <= 4, `${first} and ${second} reads in 3 s, one a second together`);
+	const reader = first > second ? 0 : 1;
+	const other = 1 - reader;
+	registers[reader]!.isDown = true;
+	const config = testConfig([testRoute()], 2, ['key-2']);
+	for (const register of registers) {
+		register.config = config;
+	}
+
+	// The shortest time in which a change must be in force on a platform in use.
+	await pause(2000);
+	t.equal(await statusOf(ports[other]!, 'key-1'), '401');
+	t.equal(await statusOf(ports[reader]!, 'key-1'), '401', 'also where the register cannot be read');
+});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -145,15 +145,16 @@
 		const follow = {
 			register: options.register, config: this.config, directory: this.directory, journal: this.#journal, now: readInstant,
 		};
-		void followConfig(follow, signal);
-		void followEndpoints(follow, signal);
+		let exchange: PeerExchange | undefined;
 		if (options.peers !== undefined) {
 			const {host, port, seeds} = options.peers;
-			await PeerExchange.create({
+			exchange = await PeerExchange.create({
 				address: `${host}:${port}`, host, port, seeds, config: this.config, directory: this.directory, load: this.#parts.load, journal: this.#journal, now: readInstant,
 			}, signal);
 		}
 
+		void followConfig(follow, () => exchange?.asked ?? 0, signal);
+		void followEndpoints(follow, signal);
 		this.#callers = await CallerServer.create({...options.callers, parts: this.#parts, dialect: options.dialect});
 		await serveStatus(options.ready.host, options.ready.port, async () => this.#status(), signal);
 		const {metricsAddress} = options;
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -85,6 +85,15 @@
 		this.#parts = parts;
 	}
 
+	/** Entries in reach that this one asks with each report; the others ask this one. */
+	get asked(): number {
+		return [...this.#peers].filter(([address, {isReached}]) => isReached && this.#asks(address)).length;
+	}
+
+	#asks(address: string): boolean {
+		return this.#parts.address < address;
+	}
+
 	async #run(signal: AbortSignal): Promise<void> {
 		let helloAt = Number.NEGATIVE_INFINITY;
 		while (!signal.aborted) {
@@ -98,7 +107,7 @@
 			const needsHelp = this.#parts.config.ageMs(now) > HELP_AGE_MS || !this.#parts.directory.isInReach;
 			for (const [address, peer] of this.#peers) {
 				// One of two entries asks; its question carries its own counts, the answer those of the other.
-				if (!peer.isAsking && (needsHelp || isHello || this.#parts.address < address)) {
+				if (!peer.isAsking && (needsHelp || isHello || this.#asks(address))) {
 					void this.#ask(address, peer);
 				}
 			}
--- a/packages/gateway/src/register.ts
+++ b/packages/gateway/src/register.ts
@@ -1,8 +1,8 @@
 /** The platform's register as an entry reads it. An adapter implements the calls; the following is done here. */
 import type {EntryJournal} from './events.js';
 import {sleep} from '#core';
-import type {
-	ConfigHolder, EndpointDirectory, EndpointRecord, FleetConfig, Instant,
+import {
+	readAtAgeMs, type ConfigHolder, type EndpointDirectory, type EndpointRecord, type FleetConfig, type Instant,
 } from '#dispatch';
 
 /** Answer of one call. */
@@ -34,19 +34,32 @@
 	readonly now: () => Instant;
 };
 
-/** Time between two reads of the configuration, in ms: half of the time in which a change must be in force. */
-const CONFIG_INTERVAL_MS = 1000;
+/** How often an entry looks whether its configuration is still confirmed, in ms. */
+const CONFIRMED_POLL_MS = 50;
 
 /** Longest wait of one watch, in ms: a connection that went silent is noticed within this time and the timeout of a call. */
 const WATCH_WAIT_MS = 2000;
 
+/** Pause after changes, in ms: what comes meanwhile comes in one answer. Short against the seconds for which an endpoint serves on after it has said that it leaves. */
+const WATCH_PAUSE_MS = 200;
+
 /** Pause after a failed call, in ms: an outage costs each entry few calls, and its end is noticed soon. */
 const FAILURE_PAUSE_MS = 250;
 
-/** Follows the configuration until the signal aborts. Each read confirms the version as of when it was sent. */
-export async function followConfig({register, config, journal, now}: FollowParts, signal: AbortSignal): Promise<void> {
+/**
+ * Follows the configuration until the signal aborts. Each read confirms the version as of when it was sent; while other
+ * entries confirm it in time, nothing is read.
+ *
+ * @param asked - Counts the entries in reach that this one asks.
+ */
+export async function followConfig({register, config, journal, now}: FollowParts, asked: () => number, signal: AbortSignal): Promise<void> {
 	const link = LinkState.create('register-configuration', journal);
 	while (!signal.aborted) {
+		if (config.ageMs(now()) < readAtAgeMs(asked())) {
+			await sleep(CONFIRMED_POLL_MS, signal);
+			continue;
+		}
+
 		const sentAt = now();
 		const answer = await register.readConfig(signal);
 		if (signal.aborted) {
@@ -58,8 +71,9 @@
 			tellAdopted(answer.value, 'register', journal);
 		}
 
-		const pause = answer.kind === 'answered' ? CONFIG_INTERVAL_MS - (now().steadyMs - sentAt.steadyMs) : FAILURE_PAUSE_MS;
-		await sleep(pause, signal);
+		if (config.ageMs(now()) >= readAtAgeMs(asked())) {
+			await sleep(FAILURE_PAUSE_MS, signal);
+		}
 	}
 }
 
@@ -102,6 +116,9 @@
 		}
 
 		({revision} = answer.value);
+		if (answer.value.changes.length > 0) {
+			await sleep(WATCH_PAUSE_MS, signal);
+		}
 	}
 }
 
