--- a/packages/gateway/__tests__/unit/peers.test.ts
+++ b/packages/gateway/__tests__/unit/peers.test.ts
@@ -75,11 +75,10 @@
 	await pause(1500);
 	const before = registers.map(({reads}) => reads);
 	await pause(3000);
-	const [first, second] = registers.map(({reads}, i) => reads - before[i]!) as [number, number];
+	const [first, second] = [registers[0].reads - before[0]!, registers[1].reads - before[1]!] as const;
 	t.ok(first + second >= 2 && first + second <= 4, `${first} and ${second} reads in 3 s, one a second together`);
-	const reader = first > second ? 0 : 1;
-	const other = 1 - reader;
-	registers[reader]!.isDown = true;
+	const [reader, other] = first > second ? [0, 1] as const : [1, 0] as const;
+	registers[reader].isDown = true;
 	const config = testConfig([testRoute()], 2, ['key-2']);
 	for (const register of registers) {
 		register.config = config;
@@ -87,6 +86,6 @@
 
 	// The shortest time in which a change must be in force on a platform in use.
 	await pause(2000);
-	t.equal(await statusOf(ports[other]!, 'key-1'), '401');
-	t.equal(await statusOf(ports[reader]!, 'key-1'), '401', 'also where the register cannot be read');
+	t.equal(await statusOf(ports[other], 'key-1'), '401');
+	t.equal(await statusOf(ports[reader], 'key-1'), '401', 'also where the register cannot be read');
 });
--- a/packages/standins-proxy/__tests__/unit/fault-proxy.test.ts
+++ b/packages/standins-proxy/__tests__/unit/fault-proxy.test.ts
@@ -145,3 +145,26 @@
 	await echoes(openClient(t, proxy), 'a');
 	await t.rejects(FaultProxy.create({target: 'nowhere'}), /HOST:PORT/u);
 });
+
+void t.test('a connection whose client had ended its side is gone when the proxy closes', async t => {
+	const upstream = createServer({allowHalfOpen: true});
+	upstream.listen(0, '127.0.0.1');
+	await once(upstream, 'listening');
+	t.teardown(() => upstream.close());
+	const proxy = await FaultProxy.create({target: `127.0.0.1:${(upstream.address() as AddressInfo).port}`});
+	const {socket} = openClient(t, proxy);
+	const [accepted] = await once(upstream, 'connection') as [Socket];
+	accepted.on('error', () => undefined);
+	t.teardown(() => accepted.destroy());
+	accepted.resume();
+	socket.end();
+	await once(accepted, 'end');
+	const gone = new Promise(resolve => {
+		accepted.once('error', resolve).once('close', resolve);
+		accepted.write('a part of an answer');
+	});
+	await proxy.close();
+	accepted.write('the rest');
+	await gone;
+	t.pass('the other side notices');
+});
--- a/packages/standins-proxy/src/fault-proxy.ts
+++ b/packages/standins-proxy/src/fault-proxy.ts
@@ -222,8 +222,8 @@
 	#reset(link: Link): void {
 		if (this.#links.delete(link)) {
 			this.#counts.resets++;
-			link.client.resetAndDestroy();
-			link.upstream.resetAndDestroy();
+			resetSocket(link.client);
+			resetSocket(link.upstream);
 		}
 	}
 
@@ -250,6 +250,15 @@
 	}
 }
 
+/** Resets a connection. One whose end was already sent can only be closed: its reset would leave the handle open. */
+function resetSocket(socket: Socket): void {
+	if (socket.writableEnded) {
+		socket.destroy();
+	} else {
+		socket.resetAndDestroy();
+	}
+}
+
 function parseTarget(target: string): {readonly host: string; readonly port: number} {
 	const colon = target.lastIndexOf(':');
 	const port = Number(target.slice(colon + 1));
