Show the leaked connection of the fault proxy with a test that fails without the mend

Cause: the former test of it did not reach the turn of the event loop in which the end of a side is still being sent. Change: the cut now falls into that turn.

--- a/packages/standins-proxy/__tests__/unit/fault-proxy.test.ts
+++ b/packages/standins-proxy/__tests__/unit/fault-proxy.test.ts
@@ -3,7 +3,7 @@
 import {
 	connect, createServer, type AddressInfo, type Socket,
 } from 'node:net';
-import {setInterval} from 'node:timers/promises';
+import {setInterval, setTimeout} from 'node:timers/promises';
 import t, {type Test} from 'tap';
 import {FaultProxy} from '#standins-proxy';
 
@@ -146,25 +146,35 @@
 	await t.rejects(FaultProxy.create({target: 'nowhere'}), /HOST:PORT/u);
 });
 
-void t.test('a connection whose client had ended its side is gone when the proxy closes', async t => {
-	const upstream = createServer({allowHalfOpen: true});
-	upstream.listen(0, '127.0.0.1');
-	await once(upstream, 'listening');
-	t.teardown(() => upstream.close());
-	const proxy = await FaultProxy.create({target: `127.0.0.1:${(upstream.address() as AddressInfo).port}`});
+void t.test('a connection that is cut in the turn of the event loop in which its client ends its side is gone', async t => {
+	const server = createServer({allowHalfOpen: true});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	t.teardown(() => server.close());
+	const {port} = server.address() as AddressInfo;
+	const proxy = await FaultProxy.create({target: `127.0.0.1:${port}`});
+	t.teardown(async () => proxy.close());
 	const {socket} = openClient(t, proxy);
-	const [accepted] = await once(upstream, 'connection') as [Socket];
-	accepted.on('error', () => undefined);
-	t.teardown(() => accepted.destroy());
-	accepted.resume();
-	socket.end();
-	await once(accepted, 'end');
-	const gone = new Promise(resolve => {
-		accepted.once('error', resolve).once('close', resolve);
-		accepted.write('a part of an answer');
+	const [accepted] = await once(server, 'connection') as [Socket];
+	accepted.on('error', () => undefined).resume();
+	// Its data is read in the same turn as the end, after it.
+	const trigger = connect(port, '127.0.0.1');
+	const [triggered] = await once(server, 'connection') as [Socket];
+	t.teardown(() => {
+		accepted.destroy();
+		trigger.destroy();
+		triggered.destroy();
+	});
+	triggered.once('data', () => {
+		proxy.cut('both');
 	});
-	await proxy.close();
-	accepted.write('the rest');
-	await gone;
-	t.pass('the other side notices');
+	socket.end();
+	trigger.write('now');
+	// A side that has read the end notices a reset only when it writes.
+	for (let write = 0; write < 50 && !accepted.destroyed; write += 1) {
+		await setTimeout(10);
+		accepted.write('part of an answer');
+	}
+
+	t.ok(accepted.destroyed, 'the other side notices');
 });
