Weigh the gain of expert copies by the size of the group

Cause: each copy had to lower the fullest rank by 0.06 of a rank's load. With 63 ranks many are nearly as full as the fullest, so plans stopped at a skew of 1.7 to 1.8. Ruled out: processor time of the planner (20 to 130 ms a plan) and the limits of a change. Change: as many copies as there are ranks must gain 0.72; unchanged for 12 ranks, 0.011 a copy for 63. The new case of set-planner.test.ts fails with the former rule.

--- a/packages/rankagent/src/coordinator.ts
+++ b/packages/rankagent/src/coordinator.ts
@@ -54,8 +54,8 @@
 /** Share of the ranks whose counts are enough for a plan: requests are spread evenly, so half of them show the demand. */
 const MIN_TOLD_SHARE = 0.5;
 
-/** A copy must lower the fullest rank by this share of a rank's mean load; below that its cost is not earned back before demand shifts again. */
-const MIN_GAIN_PER_COPY = 0.06;
+/** Least gain of as many copies as there are ranks, as a share of a rank's mean load; less is not earned back before demand shifts again. */
+const MIN_GAIN_PER_ROUND = 0.72;
 
 /** A change must lower the skew by this much to be worth its orders and the wait of the group. */
 const MIN_GAIN = 0.15;
@@ -206,7 +206,7 @@
 		}
 
 		const paces = states.toSorted((a, b) => a.state.rank - b.state.rank).map(({state}) => state.pace);
-		const proposal = planMap(map, this.#window.load(), shape, {minGainPerCopy: MIN_GAIN_PER_COPY, paces});
+		const proposal = planMap(map, this.#window.load(), shape, {minGainPerRound: MIN_GAIN_PER_ROUND, paces});
 		if (proposal.before - proposal.after < MIN_GAIN) {
 			return 'no change gains enough';
 		}
--- a/packages/rankmap/__tests__/unit/set-planner.test.ts
+++ b/packages/rankmap/__tests__/unit/set-planner.test.ts
@@ -28,7 +28,7 @@
 		const load = demand(turn);
 		for (let change = 0; change < 3; change += 1) {
 			const former = map;
-			const {map: next, copies, before, after} = planMap(former, load, shape, {minGainPerCopy: 0.02});
+			const {map: next, copies, before, after} = planMap(former, load, shape, {minGainPerRound: 0.24});
 			t.ok(after <= before, `${before} to ${after} with ${copies} copies`);
 			for (const [set, placement] of next.entries()) {
 				t.equal(new Set(placement.flat()).size, shape.experts, 'each expert is on a rank');
@@ -48,10 +48,23 @@
 	t.end();
 });
 
+for (const ranks of [12, 63]) {
+	// The widest groups in use, and those of a fifth of their size; demand of several topics that share most experts.
+	void t.test(`one plan serves new demand on ${ranks} ranks`, t => {
+		const wide: ExpertShape = {
+			ranks, sets: 8, experts: ranks * 4, places: 5, spare: 2,
+		};
+		const load = Array.from({length: wide.sets}, (_, set) => Array.from({length: wide.experts}, (_, expert) => 1000 / ((3 + (((expert * 37) + (set * 7)) % wide.experts)) ** 0.65)));
+		const {before, after, copies} = planMap(initialMap(wide), load, wide, {minGainPerRound: 0.72});
+		t.ok(after < 1.4, `skew ${before} to ${after} with ${copies} copies`);
+		t.end();
+	});
+}
+
 void t.test('even demand moves nothing', t => {
 	const load = Array.from({length: shape.sets}, () => Array.from({length: shape.experts}, () => 100));
-	t.equal(planMap(initialMap(shape), load, shape, {minGainPerCopy: 0.02}).copies, 0);
-	t.equal(planMap(initialMap(shape), load.map(set => set.map(() => 0)), shape, {minGainPerCopy: 0.02}).copies, 0, 'nor does none');
+	t.equal(planMap(initialMap(shape), load, shape, {minGainPerRound: 0.24}).copies, 0);
+	t.equal(planMap(initialMap(shape), load.map(set => set.map(() => 0)), shape, {minGainPerRound: 0.24}).copies, 0, 'nor does none');
 	t.end();
 });
 
@@ -73,7 +86,7 @@
 	const paces = Array.from({length: shape.ranks}, (_, rank) => rank === 5 ? 6 : 1);
 	let map = initialMap(shape);
 	for (let change = 0; change < 4; change += 1) {
-		({map} = planMap(map, load, shape, {minGainPerCopy: 0.02, paces}));
+		({map} = planMap(map, load, shape, {minGainPerRound: 0.24, paces}));
 	}
 
 	const loads = rankLoadsOf(map[0]!, load[0]!);
--- a/packages/rankmap/src/set-planner.ts
+++ b/packages/rankmap/src/set-planner.ts
@@ -20,8 +20,11 @@
 export type PlannerOptions = {
 	/** Time of each rank for its work against a sound one; a slow rank gets less. All are sound if left out. */
 	readonly paces?: readonly number[];
-	/** A copy must lower the fullest rank of its set by this share of the mean load of a rank; smaller gains do not pay for the copy. */
-	readonly minGainPerCopy: number;
+	/**
+	 * As many copies as there are ranks must lower the fullest rank of their set by this share of a rank's mean load; smaller
+	 * gains do not pay for the copies. The ranks copy side by side, and many of them are nearly as full as the fullest.
+	 */
+	readonly minGainPerRound: number;
 };
 
 /** Loads are compared with this tolerance, as a share of the mean. */
@@ -154,7 +157,7 @@
 		}
 
 		const gain = this.#smoothMax(before) - this.#smoothMax(bestPenalty);
-		return best !== undefined && gain >= this.#options.minGainPerCopy ? best : undefined;
+		return best !== undefined && gain >= this.#options.minGainPerRound / this.#shape.ranks ? best : undefined;
 	}
 
 	/** Whether a rank may still take an expert that is new to it in this change. */
