Compare a few endpoints at random in place of all

Cause: each entry chose the emptiest of all endpoints by counts that are up to 200 ms old, so entries that chose at the same moment filled the same one, and requests waited there while others had free slots. Change: the cheapest of four at random is chosen; all are compared only if it is full, so nothing is refused while another has room.

--- a/packages/dispatch/__tests__/unit/choices.test.ts
+++ b/packages/dispatch/__tests__/unit/choices.test.ts
@@ -5,7 +5,7 @@
 } from '#dispatch';
 
 const candidate = (id: string, changes: Partial<Candidate> = {}): Candidate => ({
-	id, slots: 8, inFlight: 0, failureRatio: 0, isAvoided: false, ...changes,
+	id, slots: 8, places: 16, inFlight: 0, failureRatio: 0, isAvoided: false, ...changes,
 });
 
 void t.test('placement', t => {
--- /dev/null
+++ b/packages/dispatch/__tests__/unit/placement-load.test.ts
@@ -0,0 +1,139 @@
+/** Placement under the load of large pools: several entries choose at once, by counts of one another that are 200 ms old. */
+import t from 'tap';
+import {choosePlace, type Candidate} from '#dispatch';
+import {createRandom, type Random} from '#standins-engine';
+
+type Load = {readonly entries: number; readonly endpoints: number; readonly slots: number; readonly perSecond: number};
+
+type Choose = (candidates: readonly Candidate[], random: Random) => number;
+
+/** Mean length of a stream, in ms; half of it is fixed, the rest exponential. */
+const STREAM_MS = 2200;
+
+/** Time between two reports of an entry, in ms. */
+const REPORT_MS = 200;
+
+const LOAD_MS = 30_000;
+
+/** Plays the load; returns the mean time that requests wait for a slot, in ms. */
+function meanWait({entries, endpoints, slots, perSecond}: Load, choose: Choose, seed: number): number {
+	const random = createRandom(seed);
+	const exponential = (mean: number) => -Math.log(1 - random.next()) * mean;
+	const own = Array.from({length: entries}, () => Array.from({length: endpoints}, () => 0));
+	const told = own.map(counts => [...counts]);
+	const queues = Array.from({length: endpoints}, (): Array<{at: number; entry: number}> => []);
+	const running = Array.from({length: endpoints}, () => 0);
+	const events = EventQueue.create();
+	let waited = 0;
+	let requests = 0;
+
+	const start = (endpoint: number, entry: number, at: number) => {
+		running[endpoint]! += 1;
+		events.add(at + (STREAM_MS / 2) + exponential(STREAM_MS / 2), now => {
+			running[endpoint]! -= 1;
+			own[entry]![endpoint]! -= 1;
+			const next = queues[endpoint]!.shift();
+			if (next !== undefined) {
+				waited += now - next.at;
+				start(endpoint, next.entry, now);
+			}
+		});
+	};
+
+	const arrive = (now: number) => {
+		const entry = random.int(0, entries - 1);
+		const candidates = running.map((_, endpoint): Candidate => ({
+			id: String(endpoint), slots, places: slots * 2, failureRatio: 0, isAvoided: false,
+			inFlight: own[entry]![endpoint]! + told.reduce((sum, counts, other) => (other === entry ? sum : sum + counts[endpoint]!), 0),
+		}));
+		const endpoint = choose(candidates, random);
+		requests += 1;
+		own[entry]![endpoint]! += 1;
+		if (running[endpoint]! < slots) {
+			start(endpoint, entry, now);
+		} else {
+			queues[endpoint]!.push({at: now, entry});
+		}
+
+		events.add(now + exponential(1000 / perSecond), arrive);
+	};
+
+	for (const [entry, counts] of own.entries()) {
+		const report = (now: number) => {
+			told[entry] = [...counts];
+			events.add(now + REPORT_MS, report);
+		};
+
+		events.add(random.next() * REPORT_MS, report);
+	}
+
+	events.add(0, arrive);
+	events.runUntil(LOAD_MS);
+	return waited / requests;
+}
+
+class EventQueue {
+	static create(): EventQueue {
+		return new EventQueue();
+	}
+
+	readonly #events: Array<{readonly at: number; readonly run: (now: number) => void}> = [];
+
+	add(at: number, run: (now: number) => void): void {
+		let [low, high] = [0, this.#events.length];
+		while (low < high) {
+			const middle = (low + high) >> 1;
+			[low, high] = this.#events[middle]!.at > at ? [middle + 1, high] : [low, middle];
+		}
+
+		this.#events.splice(low, 0, {at, run});
+	}
+
+	runUntil(end: number): void {
+		for (let next = this.#events.pop()!; next.at < end; next = this.#events.pop()!) {
+			next.run(next.at);
+		}
+	}
+}
+
+const chosen: Choose = (candidates, random) => Number(choosePlace(candidates, random.next)!.id);
+
+const emptiest: Choose = (candidates, random) => candidates
+	.map(({inFlight}, endpoint) => ({endpoint, rank: inFlight + random.next()}))
+	.reduce((best, next) => (next.rank < best.rank ? next : best)).endpoint;
+
+const ofTwo: Choose = (candidates, random) => {
+	const [a, b] = [random.int(0, candidates.length - 1), random.int(0, candidates.length - 1)];
+	return candidates[a]!.inFlight <= candidates[b]!.inFlight ? a : b;
+};
+
+let turn = 0;
+const inTurn: Choose = candidates => {
+	turn = (turn + 1) % candidates.length;
+	return turn;
+};
+
+const loads: ReadonlyArray<Load & {readonly name: string}> = [
+	{
+		name: '63 replicas at 72 in 100', entries: 12, endpoints: 63, slots: 7, perSecond: 145,
+	},
+	{
+		name: '63 replicas at 82 in 100', entries: 12, endpoints: 63, slots: 7, perSecond: 165,
+	},
+	{
+		name: '12 replicas at 69 in 100', entries: 6, endpoints: 12, slots: 8, perSecond: 30,
+	},
+];
+
+for (const {name, ...load} of loads) {
+	void t.test(`requests wait less than with other ways of choosing: ${name}`, async t => {
+		const mean = (choose: Choose) => [1, 2, 3].reduce((sum, seed) => sum + meanWait(load, choose, seed), 0) / 3;
+		const wait = mean(chosen);
+		for (const [other, choose] of [['the emptiest', emptiest], ['the emptier of two', ofTwo], ['in turn', inTurn]] as const) {
+			const otherWait = mean(choose);
+			t.ok(wait < otherWait, `${wait.toFixed(1)} ms, ${other}: ${otherWait.toFixed(1)} ms`);
+		}
+
+		t.ok(wait < 100, 'far under the objective of the first event, 400 ms');
+	});
+}
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -1,7 +1,7 @@
 /**
- * Chooses the endpoint of one attempt. Answers the load of groups that run in lock-step, where
- * the fullest rank sets the pace of all, and of plain services with few slots: the endpoint with
- * the smallest share of its slots taken is chosen, counting the requests of all entries.
+ * Chooses the endpoint of one attempt. Answers the load of groups that run in lock-step, where the fullest rank sets the
+ * pace of all, and of plain services with few slots, with several entries that choose at once: the endpoint with the smallest
+ * share of its slots taken among a few is chosen, counting the requests of all entries.
  */
 
 /** An endpoint that an attempt may go to. */
@@ -9,6 +9,8 @@
 	readonly id: string;
 	/** Requests that run at once. */
 	readonly slots: number;
+	/** Requests there from all entries at which it takes no more of this kind. */
+	readonly places: number;
 	/** Requests there from all entries, as far as known. */
 	readonly inFlight: number;
 	/** Share of its latest attempts that failed, in [0, 1]. */
@@ -30,17 +32,30 @@
 }
 
 /**
- * Picks the cheapest candidate, at random among equals. Avoided ones are picked only if there is no other.
+ * Endpoints that are compared. Several entries that all choose the emptiest endpoint, by counts some hundred ms old, fill
+ * it at the same moment; a few at random spread their choices and still miss the full ones.
+ */
+const COMPARED = 4;
+
+/**
+ * Picks the cheapest of a few candidates at random, or of all if those are full. Avoided ones are picked only if there is no
+ * other.
  *
  * @param random - In [0, 1).
  */
 export function choosePlace(candidates: readonly Candidate[], random: () => number): Candidate | undefined {
 	const sound = candidates.filter(candidate => !candidate.isAvoided);
 	const pool = sound.length > 0 ? sound : candidates;
+	const some = cheapest(sample(pool, COMPARED, random), random);
+	return some === undefined || some.inFlight < Math.min(some.slots, some.places) ? some : cheapest(pool, random);
+}
+
+/** The cheapest candidate, at random among equals. */
+function cheapest(candidates: readonly Candidate[], random: () => number): Candidate | undefined {
 	let best: Candidate | undefined;
 	let bestCost = Number.POSITIVE_INFINITY;
 	let equals = 0;
-	for (const candidate of pool) {
+	for (const candidate of candidates) {
 		const cost = costOf(candidate);
 		if (cost < bestCost - 1e-9) {
 			best = candidate;
@@ -56,3 +71,13 @@
 
 	return best;
 }
+
+/** Up to `count` different items at random. */
+function sample<Item>(items: readonly Item[], count: number, random: () => number): readonly Item[] {
+	if (items.length <= count) {
+		return items;
+	}
+
+	const rest = [...items];
+	return Array.from({length: count}, () => rest.splice(Math.floor(random() * rest.length), 1)[0]!);
+}
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -162,11 +162,13 @@
 			return {kind: 'none', reason: endpoints.length === 0 ? 'no-endpoint' : 'unreachable'};
 		}
 
+		const isNewStream = route.kind.kind === 'stream' && !this.#reply.isStarted;
+		const isLateRequest = isLate(this.#urgencyInput(route));
 		const candidates: Candidate[] = untried.map(({id, slots}) => ({
-			id, slots, inFlight: load.inFlight(id, now), failureRatio: health.failureRatio(id), isAvoided: health.isAvoided(id, now),
+			id, slots, places: isNewStream ? placesFor(slots, isLateRequest) : Infinity, inFlight: load.inFlight(id, now), failureRatio: health.failureRatio(id), isAvoided: health.isAvoided(id, now),
 		}));
 		const chosen = choosePlace(candidates, random)!;
-		if (route.kind.kind === 'stream' && !this.#reply.isStarted && chosen.inFlight >= placesFor(chosen.slots, isLate(this.#urgencyInput(route)))) {
+		if (chosen.inFlight >= chosen.places) {
 			return {kind: 'none', reason: 'overload'};
 		}
 
