--- a/packages/dispatch/__tests__/unit/placement-load.test.ts
+++ b/packages/dispatch/__tests__/unit/placement-load.test.ts
@@ -43,8 +43,7 @@
 	const arrive = (now: number) => {
 		const entry = random.int(0, entries - 1);
 		const candidates = running.map((_, endpoint): Candidate => ({
-			id: String(endpoint), slots, places: slots * 2, failureRatio: 0, isAvoided: false,
-			inFlight: own[entry]![endpoint]! + told.reduce((sum, counts, other) => (other === entry ? sum : sum + counts[endpoint]!), 0),
+			id: String(endpoint), slots, places: slots * 2, failureRatio: 0, isAvoided: false, inFlight: own[entry]![endpoint]! + sumOf(told.map((counts, other) => (other === entry ? 0 : counts[endpoint]!))),
 		}));
 		const endpoint = choose(candidates, random);
 		requests += 1;
@@ -72,6 +71,15 @@
 	return waited / requests;
 }
 
+function sumOf(values: readonly number[]): number {
+	let sum = 0;
+	for (const value of values) {
+		sum += value;
+	}
+
+	return sum;
+}
+
 class EventQueue {
 	static create(): EventQueue {
 		return new EventQueue();
@@ -82,7 +90,7 @@
 	add(at: number, run: (now: number) => void): void {
 		let [low, high] = [0, this.#events.length];
 		while (low < high) {
-			const middle = (low + high) >> 1;
+			const middle = Math.floor((low + high) / 2);
 			[low, high] = this.#events[middle]!.at > at ? [middle + 1, high] : [low, middle];
 		}
 
@@ -98,9 +106,10 @@
 
 const chosen: Choose = (candidates, random) => Number(choosePlace(candidates, random.next)!.id);
 
-const emptiest: Choose = (candidates, random) => candidates
-	.map(({inFlight}, endpoint) => ({endpoint, rank: inFlight + random.next()}))
-	.reduce((best, next) => (next.rank < best.rank ? next : best)).endpoint;
+const emptiest: Choose = (candidates, random) => {
+	const ranks = candidates.map(({inFlight}) => inFlight + random.next());
+	return ranks.indexOf(Math.min(...ranks));
+};
 
 const ofTwo: Choose = (candidates, random) => {
 	const [a, b] = [random.int(0, candidates.length - 1), random.int(0, candidates.length - 1)];
@@ -127,7 +136,7 @@
 
 for (const {name, ...load} of loads) {
 	void t.test(`requests wait less than with other ways of choosing: ${name}`, async t => {
-		const mean = (choose: Choose) => [1, 2, 3].reduce((sum, seed) => sum + meanWait(load, choose, seed), 0) / 3;
+		const mean = (choose: Choose) => sumOf([1, 2, 3].map(seed => meanWait(load, choose, seed))) / 3;
 		const wait = mean(chosen);
 		for (const [other, choose] of [['the emptiest', emptiest], ['the emptier of two', ofTwo], ['in turn', inTurn]] as const) {
 			const otherWait = mean(choose);
--- /dev/null
+++ b/packages/rankagent/__tests__/unit/coordinator.test.ts
@@ -0,0 +1,94 @@
+/** When a coordinator begins a switch: always for a fair gain, only for a great one while orders get no answer. */
+import t from 'tap';
+import {SimulatedGroup} from '../../../rankmap/__tests__/simulated-group.js';
+import {ok} from '#core';
+import {Coordinator, type RankEngine} from '#rankagent';
+import {OrderWatch} from '#rankmap';
+import {createSilentLogger, Metrics} from '#telemetry';
+
+const SIZE = 12;
+const EXPERTS = SIZE * 2;
+
+/** Two experts a rank, the first of rank 0 liked more than all others; every `lostEvery`th order gets no answer and has no effect. */
+function startCoordinator(group: SimulatedGroup, firstExpert: number, lostEvery: number): {readonly coordinator: Coordinator; readonly holds: () => number} {
+	let orders = 0;
+	let holds = 0;
+	let counted = 0;
+	const engineOf = (rank: number): RankEngine => ({
+		state: async () => ok(group.state(rank)),
+		async counts() {
+			counted += rank === 0 ? 10_000 : 0;
+			return ok({epoch: group.epoch, counts: Array.from({length: EXPERTS}, (_, expert) => counted * (expert === 0 ? firstExpert : (expert < SIZE ? 1 : 0.4)))});
+		},
+		holdings: async () => ok({version: group.state(rank).map, experts: [[rank, rank + SIZE]]}),
+		async order(order) {
+			orders += 1;
+			if (orders % lostEvery === 0) {
+				return 'no-answer';
+			}
+
+			holds += order.action.kind === 'hold' ? 1 : 0;
+			const status = group.carryOut(order);
+			group.finishCopy(order.rank);
+			return status === 409 ? 'refused' : (status === 202 ? 'begun' : 'already');
+		},
+	});
+	const engines = Array.from({length: SIZE}, (_, rank) => engineOf(rank));
+	const coordinator = Coordinator.create({
+		own: engines[0]!,
+		others: () => engines.slice(1).map(engine => ({agent: engine, direct: engine})),
+		experts: () => ({
+			sets: 1, experts: EXPERTS, places: 4, spare: 2,
+		}),
+		wallMs: Date.now,
+		logger: createSilentLogger(),
+		metrics: Metrics.create(),
+	});
+	return {coordinator, holds: () => holds};
+}
+
+const cases = [
+	{
+		name: 'a fair gain', firstExpert: 2.5, lostEvery: Infinity, holds: true,
+	},
+	{
+		name: 'a fair gain while every third order is lost', firstExpert: 2.5, lostEvery: 3, holds: false,
+	},
+	{
+		name: 'a great gain while every third order is lost', firstExpert: 8, lostEvery: 3, holds: true,
+	},
+] as const;
+
+for (const {name, firstExpert, lostEvery, holds} of cases) {
+	void t.test(`${name}: the group is ${holds ? '' : 'not '}held`, async t => {
+		const group = SimulatedGroup.create(SIZE);
+		const started = startCoordinator(group, firstExpert, lostEvery);
+		for (let turn = 0; turn < 60; turn += 1) {
+			await started.coordinator.turn(group.state(0), true);
+			group.pass();
+		}
+
+		t.equal(started.holds() > 0, holds);
+		t.equal(group.state(0).map > 0, holds, 'the map changes');
+	});
+}
+
+void t.test('orders that get no answer', t => {
+	const watch = OrderWatch.create();
+	const note = (answered: number, lost: number, now: number) => {
+		for (let i = 0; i < answered + lost; i += 1) {
+			watch.note(i < answered, now);
+		}
+	};
+
+	note(0, 4, 0);
+	t.notOk(watch.isUnreliable(0), 'a few tell nothing');
+	note(30, 0, 0);
+	t.ok(watch.isUnreliable(0), '4 of 34');
+	note(20, 0, 1000);
+	t.notOk(watch.isUnreliable(1000), '4 of 54');
+	note(4, 4, 3000);
+	t.ok(watch.isUnreliable(3000), '8 of 62');
+	t.notOk(watch.isUnreliable(7001), 'all are old');
+	t.end();
+});
--- a/packages/rankagent/src/coordinator.ts
+++ b/packages/rankagent/src/coordinator.ts
@@ -6,7 +6,7 @@
 import type {OrderOutcome, RankEngine} from './engine.js';
 import type {Result} from '#core';
 import {
-	LoadWindow, nextMapStep, planMap, type ExpertShape, type GroupMap, type MapPlan, type MapStep, type RankCounts, type RankOrder, type RankState,
+	LoadWindow, nextMapStep, OrderWatch, planMap, type ExpertShape, type GroupMap, type MapPlan, type MapStep, type RankCounts, type RankOrder, type RankState,
 } from '#rankmap';
 import type {Logger, Metrics} from '#telemetry';
 
@@ -60,6 +60,9 @@
 /** A change must lower the skew by this much to be worth its orders and the wait of the group. */
 const MIN_GAIN = 0.15;
 
+/** The same while orders get no answer, when each rank may hold the group up: worth it only where demand has moved far. */
+const MIN_GAIN_UNRELIABLE = 0.8;
+
 /** A plan that is not in force after this time is given up, in ms, unless its switch has begun. */
 const PLAN_LIFETIME_MS = 4000;
 
@@ -72,6 +75,7 @@
 	/** Content of the map in use, by version and epoch. */
 	#map: {readonly epoch: number; readonly version: number; readonly map: GroupMap} | undefined;
 	#window: LoadWindow | undefined;
+	readonly #orders = OrderWatch.create();
 	#lastPhase = '';
 	#noPlanReason = '';
 	readonly #parts: CoordinatorParts;
@@ -113,6 +117,12 @@
 			}
 
 			case 'order': {
+				if (step.phase === 'holding' && (this.#plan?.gain ?? 0) < this.#leastGain()) {
+					this.#parts.logger.info('map change given up while orders get no answer', {version: this.#plan?.version, step: own.step, gain: round(this.#plan?.gain ?? 0)});
+					this.#plan = undefined;
+					return REST_MS.settled;
+				}
+
 				await Promise.all(step.orders.map(async order => this.#give(order, states)));
 				return step.phase === 'preparing' ? REST_MS.preparing : REST_MS.urgent;
 			}
@@ -169,6 +179,7 @@
 
 	async #give(order: RankOrder, states: readonly Reached[]): Promise<OrderOutcome> {
 		const outcome = await states.find(({state}) => state.rank === order.rank)!.engine.order(order);
+		this.#orders.note(outcome !== 'no-answer', performance.now());
 		this.#parts.metrics.count('mapChanges', `${order.action.kind}-${outcome}`);
 		if (outcome === 'refused' || outcome === 'no-answer') {
 			this.#parts.logger.info('order not carried out', {
@@ -207,8 +218,9 @@
 
 		const paces = states.toSorted((a, b) => a.state.rank - b.state.rank).map(({state}) => state.pace);
 		const proposal = planMap(map, this.#window.load(), shape, {minGainPerRound: MIN_GAIN_PER_ROUND, paces});
-		if (proposal.before - proposal.after < MIN_GAIN) {
-			return 'no change gains enough';
+		const gain = proposal.before - proposal.after;
+		if (gain < this.#leastGain()) {
+			return this.#leastGain() === MIN_GAIN ? 'no change gains enough' : 'no change gains enough while orders get no answer';
 		}
 
 		const highest = Math.max(...states.map(({state}) => Math.max(state.map, state.prepared ?? 0)));
@@ -216,7 +228,9 @@
 		this.#parts.logger.info('map planned', {
 			version, epoch: own.epoch, step: own.step, copies: proposal.copies, slowestPace: Math.max(...paces), skewBefore: round(proposal.before), skewAfter: round(proposal.after), tokens: Math.round(this.#window.total()),
 		});
-		return {version, map: proposal.map, madeAt: performance.now()};
+		return {
+			version, map: proposal.map, gain, madeAt: performance.now(),
+		};
 	}
 
 	async #readCounts(states: readonly Reached[]): Promise<readonly RankCounts[] | undefined> {
@@ -249,6 +263,11 @@
 		return map;
 	}
 
+	/** Gain below which no switch is begun now. */
+	#leastGain(): number {
+		return this.#orders.isUnreliable(performance.now()) ? MIN_GAIN_UNRELIABLE : MIN_GAIN;
+	}
+
 	#expirePlan(): void {
 		if (this.#plan !== undefined && performance.now() - this.#plan.madeAt > PLAN_LIFETIME_MS) {
 			this.#parts.logger.warn('map plan given up', {version: this.#plan.version});
@@ -261,7 +280,9 @@
 		if (reason !== this.#noPlanReason) {
 			this.#noPlanReason = reason;
 			if (reason !== '') {
-				this.#parts.logger.info('no map planned', {epoch: own.epoch, step: own.step, map: own.map, reason});
+				this.#parts.logger.info('no map planned', {
+					epoch: own.epoch, step: own.step, map: own.map, reason,
+				});
 			}
 		}
 	}
@@ -279,8 +300,8 @@
 	}
 }
 
-/** A planned map and when it was made, in steady ms. */
-type Plan = MapPlan & {readonly madeAt: number};
+/** A planned map, how far it lowers the skew, and when it was made, in steady ms. */
+type Plan = MapPlan & {readonly gain: number; readonly madeAt: number};
 
 type Reached = {readonly state: RankState; readonly engine: RankEngine};
 
--- a/packages/rankmap/src/index.ts
+++ b/packages/rankmap/src/index.ts
@@ -9,3 +9,4 @@
 	initialMap, planMap, rankLoadsOf, skewOfMap, type ExpertLoad, type MapProposal, type PlannerOptions,
 } from './set-planner.js';
 export {LoadWindow, type RankCounts} from './load-window.js';
+export {OrderWatch} from './order-watch.js';
