Read a newer configuration from the register, not from the entry that has it

Cause: once one entry reads for all, it passed each version whole to every other entry. Ruled out: the order of turns (its test holds within 2 s). Change: entries tell one another which version they have; whoever hears of a newer one reads the register, every 400 ms at most. The content comes from another entry only while the register does not answer.

--- a/packages/dispatch/src/config-holder.ts
+++ b/packages/dispatch/src/config-holder.ts
@@ -13,6 +13,8 @@
 
 	#current: FleetConfig | undefined;
 	#confirmedAt: Instant | undefined;
+	#heardVersion = 0;
+	#isInReach = true;
 
 	/** The highest version offered so far. */
 	get current(): FleetConfig | undefined {
@@ -47,6 +49,26 @@
 		return isNew ? 'adopted' : 'confirmed';
 	}
 
+	/** Whether the register answered the last read. */
+	get isInReach(): boolean {
+		return this.#isInReach;
+	}
+
+	/** Notes whether the register answered. */
+	noteReach(isInReach: boolean): void {
+		this.#isInReach = isInReach;
+	}
+
+	/** Notes that a version exists, without its content. */
+	noteVersion(version: number): void {
+		this.#heardVersion = Math.max(this.#heardVersion, version);
+	}
+
+	/** Whether a newer version than the current one is known to exist. */
+	get isBehind(): boolean {
+		return this.#heardVersion > (this.#current?.version ?? 0);
+	}
+
 	/** Confirms the current version without its content, if `version` is at least as high; returns whether it did. */
 	confirm(version: number, asOf: Instant): boolean {
 		if (this.#current === undefined || version !== this.#current.version) {
--- /dev/null
+++ b/packages/gateway/__tests__/unit/connection-pool.test.ts
@@ -0,0 +1,34 @@
+/** Connections that are kept and used again. */
+import {once} from 'node:events';
+import {createServer, type AddressInfo} from 'node:net';
+import t from 'tap';
+import {ConnectionPool} from '../../src/connection-pool.js';
+
+void t.test('a connection that is used again and again gathers no listeners', async t => {
+	const server = createServer(socket => {
+		socket.on('error', () => undefined);
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const stop = new AbortController();
+	t.teardown(() => {
+		stop.abort();
+		server.close();
+	});
+	const pool = ConnectionPool.create(() => performance.now(), stop.signal);
+	const target = {id: 'e1', address: `127.0.0.1:${(server.address() as AddressInfo).port}`};
+	for (let use = 0; use < 20; use += 1) {
+		const opened = await pool.open(target, {isFresh: false, timeoutMs: 1000});
+		if (opened.kind === 'failed') {
+			t.fail(opened.reason);
+			return;
+		}
+
+		t.equal(opened.isReused, use > 0);
+		for (const event of ['timeout', 'data', 'end', 'error']) {
+			t.ok(opened.socket.listenerCount(event) <= 1, `${event}: ${opened.socket.listenerCount(event)}`);
+		}
+
+		pool.keep(target, opened.socket, undefined);
+	}
+});
--- a/packages/gateway/__tests__/unit/peers.test.ts
+++ b/packages/gateway/__tests__/unit/peers.test.ts
@@ -89,3 +89,16 @@
 	t.equal(await statusOf(ports[other], 'key-1'), '401');
 	t.equal(await statusOf(ports[reader], 'key-1'), '401', 'also where the register cannot be read');
 });
+
+void t.test('the content of a configuration comes from the register; another entry only tells that it is there', async t => {
+	const {registers, ports} = await startPair(t);
+	await pause(500);
+	const routes = [testRoute(), ...Array.from({length: 2000}, (_, i) => testRoute({name: `r${i}`, pathPrefix: `/p${i}/`}))];
+	registers[0].config = testConfig(routes, 2, ['key-2']);
+	registers[1].config = registers[0].config;
+	const before = registers.map(({reads}) => reads);
+	await pause(2000);
+	t.equal(await statusOf(ports[0], 'key-2'), '200');
+	t.equal(await statusOf(ports[1], 'key-2'), '200');
+	t.ok(registers.every(({reads}, i) => reads > before[i]!), 'both have read it');
+});
--- a/packages/gateway/src/connection-pool.ts
+++ b/packages/gateway/src/connection-pool.ts
@@ -96,7 +96,7 @@
 		for (let idle = list?.pop(); idle !== undefined; idle = list?.pop()) {
 			const {socket, drop} = idle;
 			socket.off('data', drop).off('end', drop).off('error', drop);
-			socket.setTimeout(0);
+			socket.setTimeout(0, drop);
 			if (!socket.destroyed && idle.address === target.address && idle.until > this.#now()) {
 				return socket;
 			}
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -18,6 +18,8 @@
 	readonly load: LoadCounts;
 	/** Version that it has; 0 for none. */
 	readonly configVersion: number;
+	/** Whether it wants the content of a newer version because it cannot read the register. */
+	readonly wantsConfig: boolean;
 	/** Whether it cannot read the register and wants the endpoints. */
 	readonly wantsEndpoints: boolean;
 };
@@ -30,7 +32,7 @@
 	readonly configVersion: number;
 	/** Time since its version was known to be the newest, in ms; undefined if it knows none. */
 	readonly configAgeMs: number | undefined;
-	/** Its configuration, if it is newer than that of the asker. */
+	/** Its configuration, if it was wanted and is newer than that of the asker. */
 	readonly config: FleetConfigParts | undefined;
 	readonly left: readonly LeftEndpoint[];
 	/** Its endpoints, if they were wanted. */
@@ -90,6 +92,11 @@
 		return [...this.#peers].filter(([address, {isReached}]) => isReached && this.#asks(address)).length;
 	}
 
+	#needsConfig(now: Instant): boolean {
+		const {config} = this.#parts;
+		return config.ageMs(now) > HELP_AGE_MS || (config.isBehind && !config.isInReach);
+	}
+
 	#asks(address: string): boolean {
 		return this.#parts.address < address;
 	}
@@ -104,7 +111,7 @@
 				this.#learn(this.#parts.seeds);
 			}
 
-			const needsHelp = this.#parts.config.ageMs(now) > HELP_AGE_MS || !this.#parts.directory.isInReach;
+			const needsHelp = this.#needsConfig(now) || !this.#parts.directory.isInReach;
 			for (const [address, peer] of this.#peers) {
 				// One of two entries asks; its question carries its own counts, the answer those of the other.
 				if (!peer.isAsking && (needsHelp || isHello || this.#asks(address))) {
@@ -124,7 +131,11 @@
 		const {config, directory, load, now} = this.#parts;
 		const sentAt = now();
 		const question: PeerQuestion = {
-			from: this.#parts.address, load: load.ownCounts(), configVersion: config.current?.version ?? 0, wantsEndpoints: !directory.isInReach || directory.size === 0,
+			from: this.#parts.address,
+			load: load.ownCounts(),
+			configVersion: config.current?.version ?? 0,
+			wantsConfig: this.#needsConfig(sentAt),
+			wantsEndpoints: !directory.isInReach || directory.size === 0,
 		};
 		peer.isAsking = true;
 		const result = await peer.link.ask(question, ANSWER_TIMEOUT_MS);
@@ -139,6 +150,7 @@
 		const {config, directory, load, journal, now} = this.#parts;
 		load.notePeer(address, answer.load, now().steadyMs);
 		this.#learn(answer.peers);
+		config.noteVersion(answer.configVersion);
 		if (answer.configAgeMs !== undefined) {
 			const asOf = {steadyMs: sentAt.steadyMs - answer.configAgeMs, wallMs: sentAt.wallMs - answer.configAgeMs};
 			if (answer.config === undefined) {
@@ -165,6 +177,7 @@
 		const at = now();
 		if (question.from !== undefined) {
 			load.notePeer(question.from, question.load, at.steadyMs);
+			config.noteVersion(question.configVersion);
 			this.#learn([question.from]);
 		}
 
@@ -174,7 +187,7 @@
 			peers: [...this.#peers].filter(([, peer]) => peer.isReached).map(([address]) => address),
 			configVersion: current?.version ?? 0,
 			configAgeMs: current === undefined ? undefined : config.ageMs(at),
-			config: current !== undefined && current.version > question.configVersion ? current.parts : undefined,
+			config: question.wantsConfig && current !== undefined && current.version > question.configVersion ? current.parts : undefined,
 			left: directory.left(),
 			endpoints: question.wantsEndpoints ? directory.records() : undefined,
 			isRegisterInReach: directory.isInReach,
@@ -217,7 +230,7 @@
 	for (const address of addresses) {
 		const link = RequestLink.create(address);
 		const question: PeerQuestion = {
-			from: undefined, load: {}, configVersion: Number.MAX_SAFE_INTEGER, wantsEndpoints: true,
+			from: undefined, load: {}, configVersion: 0, wantsConfig: false, wantsEndpoints: true,
 		};
 		const answer = await link.ask(question, OUTSIDE_TIMEOUT_MS);
 		link.close();
--- a/packages/gateway/src/register.ts
+++ b/packages/gateway/src/register.ts
@@ -34,6 +34,9 @@
 	readonly now: () => Instant;
 };
 
+/** Time between two reads when others know of newer versions, in ms: a series of changes does not make every entry read each of them. */
+const NEWS_INTERVAL_MS = 400;
+
 /** How often an entry looks whether its configuration is still confirmed, in ms. */
 const CONFIRMED_POLL_MS = 50;
 
@@ -47,26 +50,30 @@
 const FAILURE_PAUSE_MS = 250;
 
 /**
- * Follows the configuration until the signal aborts. Each read confirms the version as of when it was sent; while other
- * entries confirm it in time, nothing is read.
+ * Follows the configuration until the signal aborts. Each read confirms the version as of when it was sent. While other
+ * entries confirm it in time and know of nothing newer, nothing is read.
  *
  * @param asked - Counts the entries in reach that this one asks.
  */
 export async function followConfig({register, config, journal, now}: FollowParts, asked: () => number, signal: AbortSignal): Promise<void> {
 	const link = LinkState.create('register-configuration', journal);
+	let lastReadAt = Number.NEGATIVE_INFINITY;
 	while (!signal.aborted) {
-		if (config.ageMs(now()) < readAtAgeMs(asked())) {
+		const isNewsDue = config.isBehind && now().steadyMs - lastReadAt >= NEWS_INTERVAL_MS;
+		if (config.ageMs(now()) < readAtAgeMs(asked()) && !isNewsDue) {
 			await sleep(CONFIRMED_POLL_MS, signal);
 			continue;
 		}
 
 		const sentAt = now();
+		lastReadAt = sentAt.steadyMs;
 		const answer = await register.readConfig(signal);
 		if (signal.aborted) {
 			return;
 		}
 
 		link.note(answer);
+		config.noteReach(answer.kind !== 'unavailable');
 		if (answer.kind === 'answered' && answer.value !== undefined && config.offer(answer.value, sentAt) === 'adopted') {
 			tellAdopted(answer.value, 'register', journal);
 		}
