Count the wait for a stream's first event from the request, not from the head of the answer

Cause: a stream whose head came late and whose events did not was sent to a second endpoint 1.7 s after the head; callers give up 2 s after they last got something. Ruled out: resetting the connection in place of closing it (a receiver still reads what it has queued, tried and reverted); placement (the frozen replicas were two of twelve). Change: while there is another attempt, the first event has 1.7 s since the request or the last event.

--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -223,6 +223,12 @@
 		return route.kind.kind === 'stream' ? Math.min(left, STREAM_SILENCE_MS) : left * FIRST_SILENCE_SHARE;
 	}
 
+	/** Time for the first event after a head, in ms: while there is another attempt, it must begin before the caller leaves. */
+	#firstEventMs(route: Route): number {
+		const sinceMs = this.#steady() - (this.#lastEventAt ?? this.#startedAt.steadyMs);
+		return this.#attempts < route.maxAttempts ? Math.max(0, STREAM_SILENCE_MS - sinceMs) : STREAM_SILENCE_MS;
+	}
+
 	async #settle(route: Route, endpoint: EndpointRecord, end: AttemptEnd): Promise<Terminal | 'again'> {
 		switch (end.kind) {
 			case 'caller-left': {
@@ -336,7 +342,7 @@
 			reply: this.#reply,
 			head: isFirst ? this.#parts.dialect.headersToCaller(res.rawHeaders) : undefined,
 			lastEventId: this.#lastEventId,
-			silenceMs: STREAM_SILENCE_MS,
+			silenceMs: {first: this.#firstEventMs(route), later: STREAM_SILENCE_MS},
 			endAfterMs: this.#remainingMs(route),
 		});
 		this.#lastEventId = end.lastEventId;
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -26,8 +26,8 @@
 	readonly head: readonly string[] | undefined;
 	/** Last event that the caller has. */
 	readonly lastEventId: number | undefined;
-	/** A stream without a byte for so long counts as broken, in ms. */
-	readonly silenceMs: number;
+	/** A stream without a byte for so long counts as broken, in ms: before its first one, and then between two. */
+	readonly silenceMs: {readonly first: number; readonly later: number};
 	/** Time that is left for the whole stream, in ms. */
 	readonly endAfterMs: number;
 };
@@ -53,7 +53,8 @@
 		};
 
 		const onData = (chunk: Uint8Array) => {
-			silenceTimer.refresh();
+			clearTimeout(silenceTimer);
+			silenceTimer = setTimeout(onSilence, silenceMs.later);
 			const {whole, count} = splitter.push(chunk);
 			if (count === 0) {
 				return;
@@ -90,9 +91,11 @@
 			finish({kind: 'caller-left'});
 		};
 
-		const silenceTimer = setTimeout(() => {
+		const onSilence = () => {
 			finish({kind: 'broken', reason: 'silent'});
-		}, silenceMs);
+		};
+
+		let silenceTimer = setTimeout(onSilence, silenceMs.first);
 		const endTimer = setTimeout(() => {
 			finish({kind: 'out-of-time'});
 		}, Math.max(0, endAfterMs));
