Count copies and rank loads in one place

The planner of rankmap had its own copiesOf and rankLoadsOf, which do what expertmap's countCopies and rankLoads do.

--- a/packages/expertmap/src/placement.ts
+++ b/packages/expertmap/src/placement.ts
@@ -1,6 +1,9 @@
 /** Placement of experts on ranks: loads, skew, moves and the lower bound. */
 import type {ExpertMap} from './engine-order.js';
 import {InputError} from '#core';
+import {countCopies} from '#rankmap';
+
+export {countCopies, rankLoads} from '#rankmap';
 
 /** Experts of one layer by rank: `slots[rank]` has one expert number per slot. */
 export type LayerSlots = ReadonlyArray<readonly number[]>;
@@ -8,29 +11,6 @@
 /** Tokens per expert of one layer, in any common unit. */
 export type LayerLoad = readonly number[];
 
-/** Number of copies of each expert. */
-export function countCopies(slots: LayerSlots, experts: number): readonly number[] {
-	const copies = Array.from({length: experts}, () => 0);
-	for (const expert of slots.flat()) {
-		copies[expert] = (copies[expert] ?? 0) + 1;
-	}
-
-	return copies;
-}
-
-/** Load of each rank: an expert's load splits evenly over its copies. */
-export function rankLoads(slots: LayerSlots, load: LayerLoad): readonly number[] {
-	const copies = countCopies(slots, load.length);
-	return slots.map(experts => {
-		let sum = 0;
-		for (const expert of experts) {
-			sum += (load[expert] ?? 0) / (copies[expert] ?? 1);
-		}
-
-		return sum;
-	});
-}
-
 /** Skew of a layer: slowest rank over mean; 1 for a layer without load. */
 export function skewOf(loads: readonly number[]): number {
 	let sum = 0;
--- a/packages/rankmap/__tests__/unit/set-planner.test.ts
+++ b/packages/rankmap/__tests__/unit/set-planner.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap';
 import {
-	initialMap, LoadWindow, planMap, rankLoadsOf, skewOfMap, type ExpertShape,
+	initialMap, LoadWindow, planMap, rankLoads, skewOfMap, type ExpertShape,
 } from '#rankmap';
 
 const shape: ExpertShape = {
@@ -18,7 +18,7 @@
 });
 
 void t.test('an expert on two ranks gives each half of its tokens', t => {
-	t.same(rankLoadsOf([[0, 1], [1], [2]], [10, 8, 3]), [14, 4, 3]);
+	t.same(rankLoads([[0, 1], [1], [2]], [10, 8, 3]), [14, 4, 3]);
 	t.end();
 });
 
@@ -89,7 +89,7 @@
 		({map} = planMap(map, load, shape, {minGainPerRound: 0.24, paces}));
 	}
 
-	const loads = rankLoadsOf(map[0]!, load[0]!);
+	const loads = rankLoads(map[0]!, load[0]!);
 	const mean = loads.reduce((sum, value) => sum + value, 0) / loads.length;
 	t.ok(loads[5]! * 6 < mean * 2, `the slow rank has ${loads[5]! / mean} of the mean load`);
 	t.ok(skewOfMap(map, load, paces) < 2, `time of the slowest ${skewOfMap(map, load, paces)}`);
--- a/packages/rankmap/src/index.ts
+++ b/packages/rankmap/src/index.ts
@@ -6,7 +6,8 @@
 	nextMapStep, type MapPhase, type MapPlan, type MapStep,
 } from './map-change.js';
 export {
-	initialMap, planMap, rankLoadsOf, skewOfMap, type ExpertLoad, type MapProposal, type PlannerOptions,
+	initialMap, planMap, skewOfMap, type ExpertLoad, type MapProposal, type PlannerOptions,
 } from './set-planner.js';
 export {LoadWindow, type RankCounts} from './load-window.js';
 export {OrderWatch} from './order-watch.js';
+export {countCopies, rankLoads} from './expert-loads.js';
--- a/packages/rankmap/src/set-planner.ts
+++ b/packages/rankmap/src/set-planner.ts
@@ -2,6 +2,7 @@
  * Plans a better placement of experts for the load observed. Answers demand that shifts within seconds
  * while a copy costs time and money: the fewest copies that take the most from the fullest rank of each set.
  */
+import {countCopies, rankLoads} from './expert-loads.js';
 import type {ExpertShape, GroupMap} from './types.js';
 
 /** Tokens by set and expert. */
@@ -42,16 +43,10 @@
 	return Array.from({length: sets}, () => set);
 }
 
-/** Load of each rank of a set: an expert's tokens are shared evenly by the ranks that hold it. */
-export function rankLoadsOf(placement: ReadonlyArray<readonly number[]>, load: readonly number[]): number[] {
-	const copies = copiesOf(placement, load.length);
-	return placement.map(experts => experts.reduce((sum, expert) => sum + ((load[expert] ?? 0) / Math.max(1, copies[expert] ?? 1)), 0));
-}
-
 /** Time of the slowest rank over the mean load, averaged over the sets; 1 without load. */
 export function skewOfMap(map: GroupMap, load: ExpertLoad, paces: readonly number[] = []): number {
 	const skews = map.map((placement, set) => {
-		const loads = rankLoadsOf(placement, load[set] ?? []);
+		const loads = rankLoads(placement, load[set] ?? []);
 		const mean = loads.reduce((sum, value) => sum + value, 0) / loads.length;
 		return mean === 0 ? 1 : Math.max(...loads.map((value, rank) => value * (paces[rank] ?? 1))) / mean;
 	});
@@ -96,8 +91,8 @@
 		this.#options = options;
 		this.#ranks = placement.map(experts => new Set(experts));
 		this.#original = placement.map(experts => new Set(experts));
-		this.#holders = copiesOf(placement, load.length);
-		this.#loads = rankLoadsOf(placement, load);
+		this.#holders = countCopies(placement, load.length);
+		this.#loads = rankLoads(placement, load);
 		this.#mean = this.#loads.reduce((sum, value) => sum + value, 0) / this.#loads.length;
 	}
 
@@ -251,17 +246,6 @@
 	}
 }
 
-function copiesOf(placement: ReadonlyArray<readonly number[]>, experts: number): number[] {
-	const copies = Array.from({length: experts}, () => 0);
-	for (const held of placement) {
-		for (const expert of held) {
-			copies[expert] = (copies[expert] ?? 0) + 1;
-		}
-	}
-
-	return copies;
-}
-
 function indexOfMax(values: readonly number[]): number {
 	let best = 0;
 	for (const [index, value] of values.entries()) {
