Split HOST:PORT in one function

Five places cut an address at its last colon: the connection pool, the fault proxy, the platform's settings, and both of its programs. They call splitAddress of core now, whose Address type also replaces the two copies in settings and in the platform's settings. The settings' own reader stays, since it checks IP numbers and ports.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 /** Public index of the core: kernel, commands, invariants, errors, findings and results. */
+export {splitAddress, type Address} from './address.js';
 export {
 	BaseError, InputError, InvariantError, UnavailableError,
 } from './errors.js';
--- a/packages/gateway/src/connection-pool.ts
+++ b/packages/gateway/src/connection-pool.ts
@@ -1,5 +1,6 @@
 /** Connections to endpoints: one request at a time on each, kept while they are certainly clean. */
 import {connect, type Socket} from 'node:net';
+import {splitAddress} from '#core';
 
 /** Result of opening a connection. */
 export type OpenedConnection
@@ -109,8 +110,7 @@
 }
 
 async function connectTo(address: string, timeoutMs: number): Promise<OpenedConnection> {
-	const colon = address.lastIndexOf(':');
-	const socket = connect({host: address.slice(0, colon), port: Number(address.slice(colon + 1)), noDelay: true});
+	const socket = connect({...splitAddress(address), noDelay: true});
 	return new Promise(resolve => {
 		const finish = (result: OpenedConnection) => {
 			clearTimeout(timer);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,7 +9,7 @@
 import type {FlowParts} from './request-flow.js';
 import {serveStatus, type StatusAnswer} from './status-server.js';
 import {RetryBudget} from '#coordination';
-import {sleep} from '#core';
+import {sleep, type Address} from '#core';
 import {
 	ConfigHolder, EndpointDirectory, EndpointHealth, LoadBoard, readInstant, type EndpointRecord,
 } from '#dispatch';
@@ -18,12 +18,12 @@
 export type GatewayOptions = {
 	readonly name: string;
 	readonly zone: string;
-	readonly callers: {readonly host: string; readonly port: number};
-	readonly ready: {readonly host: string; readonly port: number};
+	readonly callers: Address;
+	readonly ready: Address;
 	/** Address of the metrics at `/metrics`. */
-	readonly metricsAddress: {readonly host: string; readonly port: number};
+	readonly metricsAddress: Address;
 	/** Where other entries connect, and a few addresses to find them by; undefined for an entry on its own. */
-	readonly peers: {readonly host: string; readonly port: number; readonly seeds: readonly string[]} | undefined;
+	readonly peers: (Address & {readonly seeds: readonly string[]}) | undefined;
 	/** Age of the configuration from which keys are no longer trusted, in ms; undefined if they are for ever. */
 	readonly keyTrustMs: number | undefined;
 	readonly retry: {
--- a/packages/settings/src/format.ts
+++ b/packages/settings/src/format.ts
@@ -1,7 +1,6 @@
 import {stringify} from 'ini';
-import type {
-	Address, Backend, KeySource, Settings,
-} from './model.js';
+import type {Backend, KeySource, Settings} from './model.js';
+import type {Address} from '#core';
 
 /** Writes settings as INI text with every value spelled out, but for keys, which are shown as `(hidden)`. */
 export function formatSettings(settings: Settings): string {
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -2,7 +2,6 @@
 export {
 	logLevels,
 	settingsDefaults,
-	type Address,
 	type Backend,
 	type CommonSettings,
 	type EndpointSettings,
--- a/packages/settings/src/model.ts
+++ b/packages/settings/src/model.ts
@@ -1,13 +1,6 @@
 /** The settings of one `mimosamountd` process as typed values. */
 import type {Secret} from './secret.js';
-
-/** An IP number and a port. */
-export type Address = {
-	/** IPv4 or IPv6, without brackets. */
-	readonly host: string;
-	/** 0 lets the system choose a free port; only where the process listens. */
-	readonly port: number;
-};
+import type {Address} from '#core';
 
 /** Where a key comes from. */
 export type KeySource
--- a/packages/settings/src/values.ts
+++ b/packages/settings/src/values.ts
@@ -1,9 +1,11 @@
 /** Readers for the values of settings. A failure says what is allowed. */
 import {isIP} from 'node:net';
 import {Buffer} from 'node:buffer';
-import type {Address, KeySource} from './model.js';
+import type {KeySource} from './model.js';
 import {Secret} from './secret.js';
-import {failed, ok, type Result} from '#core';
+import {
+	failed, ok, type Address, type Result,
+} from '#core';
 import {describeWords, isName, nameAllowed} from '#rules';
 
 /** What was wrong with a value. */
--- a/packages/standins-proxy/src/fault-proxy.ts
+++ b/packages/standins-proxy/src/fault-proxy.ts
@@ -8,7 +8,7 @@
 	NO_FAULTS, parseProxyFaults, type Direction, type ProxyFaults,
 } from './proxy-faults.js';
 import {Pipe} from './pipe.js';
-import {InputError} from '#core';
+import {InputError, splitAddress, type Address} from '#core';
 
 /** Options of a proxy. */
 export type FaultProxyOptions = {
@@ -52,7 +52,7 @@
 	}
 
 	#faults = NO_FAULTS;
-	#target: {readonly host: string; readonly port: number};
+	#target: Address;
 	readonly #server: Server;
 	readonly #control: FastifyInstance = fastify({forceCloseConnections: true});
 	readonly #links = new Set<Link>();
@@ -259,12 +259,11 @@
 	}
 }
 
-function parseTarget(target: string): {readonly host: string; readonly port: number} {
-	const colon = target.lastIndexOf(':');
-	const port = Number(target.slice(colon + 1));
-	if (colon < 1 || !Number.isInteger(port) || port < 1 || port > 65_535) {
+function parseTarget(target: string): Address {
+	const {host, port} = splitAddress(target);
+	if (host === '' || !Number.isInteger(port) || port < 1 || port > 65_535) {
 		throw new InputError(`proxy target: read ${JSON.stringify(target)}, allowed: HOST:PORT`);
 	}
 
-	return {host: target.slice(0, colon), port};
+	return {host, port};
 }
