Use one check, one type and one candidate where the gateway had two

Readiness and admission each decided whether keys are trusted; readiness asks admission now. The parts that follow the register and the entries share their four fields as one type. A chosen candidate is the endpoint itself, so it is not looked up again among the untried. The time since a caller last got something stands once. An order to prepare carries a version and a map, no longer whatever else the coordinator's plan holds.

--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -43,7 +43,7 @@
  *
  * @param random - In [0, 1).
  */
-export function choosePlace(candidates: readonly Candidate[], random: () => number): Candidate | undefined {
+export function choosePlace<Place extends Candidate>(candidates: readonly Place[], random: () => number): Place | undefined {
 	const sound = candidates.filter(candidate => !candidate.isAvoided);
 	const pool = sound.length > 0 ? sound : candidates;
 	const some = cheapest(sample(pool, COMPARED, random), random);
@@ -51,8 +51,8 @@
 }
 
 /** The cheapest candidate, at random among equals. */
-function cheapest(candidates: readonly Candidate[], random: () => number): Candidate | undefined {
-	let best: Candidate | undefined;
+function cheapest<Place extends Candidate>(candidates: readonly Place[], random: () => number): Place | undefined {
+	let best: Place | undefined;
 	let bestCost = Number.POSITIVE_INFINITY;
 	let equals = 0;
 	for (const candidate of candidates) {
--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -80,6 +80,7 @@
 	return key === undefined ? undefined : config.findWorkspace(key);
 }
 
-function keysAreTrusted({keyTrustMs, config, now}: AdmissionParts): boolean {
+/** Whether the configuration was confirmed lately enough for its keys to be trusted. */
+export function keysAreTrusted({keyTrustMs, config, now}: AdmissionParts): boolean {
 	return keyTrustMs === undefined || config.ageMs(now()) < keyTrustMs;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,11 +1,14 @@
 /** An entry that speaks straight to endpoints: state, sockets and tasks, and how it stops. */
+import {keysAreTrusted} from './admission.js';
 import {CallerServer} from './caller-server.js';
 import {ConnectionPool} from './connection-pool.js';
 import type {Dialect} from './dialect.js';
 import {EntryJournal} from './events.js';
 import {GroupWatch, type GroupProbe} from './group-watch.js';
 import {PeerExchange} from './peers.js';
-import {followConfig, followEndpoints, type Register} from './register.js';
+import {
+	followConfig, followEndpoints, type Beliefs, type Register,
+} from './register.js';
 import type {FlowParts} from './request-flow.js';
 import {serveStatus, type StatusAnswer} from './status-server.js';
 import {RetryBudget} from '#coordination';
@@ -101,9 +104,7 @@
 
 	/** Whether new connections should come here. */
 	get isReady(): boolean {
-		const {keyTrustMs} = this.#options;
-		const isTrusted = keyTrustMs === undefined || this.config.ageMs(readInstant()) < keyTrustMs;
-		return !this.#isLeaving && this.config.current !== undefined && isTrusted && this.directory.size > 0;
+		return !this.#isLeaving && this.config.current !== undefined && keysAreTrusted(this.#parts) && this.directory.size > 0;
 	}
 
 	/** Stops: leaves the balancer, lets requests end, closes. Settles when nothing is open or the grace is over. */
@@ -142,14 +143,15 @@
 
 			this.#journal.record({kind: 'endpoint', ...change, source: 'register'});
 		});
-		const follow = {
-			register: options.register, config: this.config, directory: this.directory, journal: this.#journal, now: readInstant,
+		const beliefs: Beliefs = {
+			config: this.config, directory: this.directory, journal: this.#journal, now: readInstant,
 		};
+		const follow = {...beliefs, register: options.register};
 		let exchange: PeerExchange | undefined;
 		if (options.peers !== undefined) {
 			const {host, port, seeds} = options.peers;
 			exchange = await PeerExchange.create({
-				address: `${host}:${port}`, host, port, seeds, config: this.config, directory: this.directory, load: this.#parts.load, journal: this.#journal, now: readInstant,
+				...beliefs, address: `${host}:${port}`, host, port, seeds, load: this.#parts.load,
 			}, signal);
 		}
 
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -3,11 +3,10 @@
  * that leave. The register may serve one entry and turn its neighbour away, so each asks the others when
  * its own readings grow old. An age is only taken from an answer to one's own question, counted from when it was asked.
  */
-import type {EntryJournal} from './events.js';
-import {tellAdopted} from './register.js';
+import {tellAdopted, type Beliefs} from './register.js';
 import {sleep} from '#core';
 import {
-	FleetConfig, type ConfigHolder, type EndpointDirectory, type EndpointRecord, type FleetConfigParts, type Instant, type LeftEndpoint, type LoadBoard, type LoadCounts,
+	FleetConfig, type EndpointRecord, type FleetConfigParts, type Instant, type LeftEndpoint, type LoadBoard, type LoadCounts,
 } from '#dispatch';
 import {RequestLink, RequestServer} from '#links';
 
@@ -41,17 +40,13 @@
 	readonly isRegisterInReach: boolean;
 };
 
-export type PeerParts = {
+export type PeerParts = Beliefs & {
 	/** Own address, `HOST:PORT`. */
 	readonly address: string;
 	readonly host: string;
 	readonly port: number;
 	readonly seeds: readonly string[];
-	readonly config: ConfigHolder;
-	readonly directory: EndpointDirectory;
 	readonly load: LoadBoard;
-	readonly journal: EntryJournal;
-	readonly now: () => Instant;
 };
 
 /** How often entries exchange their counts, in ms: several times while a request runs. */
--- a/packages/gateway/src/register.ts
+++ b/packages/gateway/src/register.ts
@@ -26,14 +26,16 @@
 	readonly watchEndpoints: (revision: number, waitMs: number, signal: AbortSignal) => Promise<RegisterAnswer<{readonly changes: readonly EndpointChange[]; readonly revision: number}>>;
 };
 
-export type FollowParts = {
-	readonly register: Register;
+/** What an entry believes of the fleet, and where it tells of changes. */
+export type Beliefs = {
 	readonly config: ConfigHolder;
 	readonly directory: EndpointDirectory;
 	readonly journal: EntryJournal;
 	readonly now: () => Instant;
 };
 
+export type FollowParts = Beliefs & {readonly register: Register};
+
 /** Time between two reads when others know of newer versions, in ms: a series of changes, each of a megabyte at most, does not keep every entry busy. */
 const NEWS_INTERVAL_MS = 500;
 
--- a/packages/gateway/src/request-flow.ts
+++ b/packages/gateway/src/request-flow.ts
@@ -14,7 +14,7 @@
 import {relayStream, type StreamEnd} from './stream-relay.js';
 import type {RetryBudget} from '#coordination';
 import {
-	backlogFor, choosePlace, isLate, placesFor, urgencyOf, type AttemptOutcome, type Candidate, type EndpointDirectory, type EndpointHealth, type EndpointRecord, type Instant, type LoadBoard, type Route, type UrgencyInput, type Workspace,
+	backlogFor, choosePlace, isLate, placesFor, urgencyOf, type AttemptOutcome, type EndpointDirectory, type EndpointHealth, type EndpointRecord, type Instant, type LoadBoard, type Route, type UrgencyInput, type Workspace,
 } from '#dispatch';
 
 /** What the flow of all requests shares. */
@@ -148,9 +148,8 @@
 		}
 
 		const now = this.#steady();
-		const sinceMs = now - (this.#lastEventAt ?? this.#startedAt.steadyMs);
 		const slots = directory.endpointsOf(this.#service, now).reduce((sum, endpoint) => sum + endpoint.slots, 0);
-		return groups.waitUntilRunning(this.#service, {ms: GROUP_WAIT_MS - sinceMs, backlog: backlogFor(slots, load.entries(now)), signal: this.#reply.left});
+		return groups.waitUntilRunning(this.#service, {ms: GROUP_WAIT_MS - this.#sinceProgressMs(), backlog: backlogFor(slots, load.entries(now)), signal: this.#reply.left});
 	}
 
 	#choose(route: Route): {readonly kind: 'place'; readonly endpoint: EndpointRecord} | {readonly kind: 'none'; readonly reason: RefusalReason} {
@@ -163,16 +162,16 @@
 		}
 
 		const isNewStream = route.kind.kind === 'stream' && !this.#reply.isStarted;
-		const isLateRequest = isLate(this.#urgencyInput(route));
-		const candidates: Candidate[] = untried.map(({id, slots}) => ({
-			id, slots, places: isNewStream ? placesFor(slots, isLateRequest) : Infinity, inFlight: load.inFlight(id, now), failureRatio: health.failureRatio(id), isAvoided: health.isAvoided(id, now),
+		const isLateRequest = isNewStream && isLate(this.#urgencyInput(route));
+		const candidates = untried.map(endpoint => ({
+			...endpoint,
+			places: isNewStream ? placesFor(endpoint.slots, isLateRequest) : Infinity,
+			inFlight: load.inFlight(endpoint.id, now),
+			failureRatio: health.failureRatio(endpoint.id),
+			isAvoided: health.isAvoided(endpoint.id, now),
 		}));
-		const chosen = choosePlace(candidates, random)!;
-		if (chosen.inFlight >= chosen.places) {
-			return {kind: 'none', reason: 'overload'};
-		}
-
-		return {kind: 'place', endpoint: untried.find(({id}) => id === chosen.id)!};
+		const endpoint = choosePlace(candidates, random)!;
+		return endpoint.inFlight >= endpoint.places ? {kind: 'none', reason: 'overload'} : {kind: 'place', endpoint};
 	}
 
 	async #attempt(route: Route, endpoint: EndpointRecord): Promise<AttemptEnd> {
@@ -225,8 +224,7 @@
 
 	/** Time for the first event after a head, in ms: while there is another attempt, it must begin before the caller leaves. */
 	#firstEventMs(route: Route): number {
-		const sinceMs = this.#steady() - (this.#lastEventAt ?? this.#startedAt.steadyMs);
-		return this.#attempts < route.maxAttempts ? Math.max(0, STREAM_SILENCE_MS - sinceMs) : STREAM_SILENCE_MS;
+		return this.#attempts < route.maxAttempts ? Math.max(0, STREAM_SILENCE_MS - this.#sinceProgressMs()) : STREAM_SILENCE_MS;
 	}
 
 	async #settle(route: Route, endpoint: EndpointRecord, end: AttemptEnd): Promise<Terminal | 'again'> {
@@ -447,6 +445,11 @@
 		return this.#steady() - this.#startedAt.steadyMs;
 	}
 
+	/** Time since the caller last got something, or sent its request, in ms. */
+	#sinceProgressMs(): number {
+		return this.#steady() - (this.#lastEventAt ?? this.#startedAt.steadyMs);
+	}
+
 	#callerLeftMs(): number {
 		return (this.#req.waitMs ?? this.#route?.timeoutMs ?? 0) - this.#elapsedMs();
 	}
--- a/packages/rankmap/src/map-change.ts
+++ b/packages/rankmap/src/map-change.ts
@@ -126,7 +126,8 @@
 		return {kind: 'wait', phase: 'preparing'};
 	}
 
-	return {kind: 'order', phase: 'preparing', orders: free.map(state => orderTo(state, {kind: 'prepare', ...plan}))};
+	const {version, map} = plan;
+	return {kind: 'order', phase: 'preparing', orders: free.map(state => orderTo(state, {kind: 'prepare', version, map}))};
 }
 
 function orderTo(state: RankState, action: RankOrder['action']): RankOrder {
