--- a/packages/gateway/__tests__/gateway-harness.ts
+++ b/packages/gateway/__tests__/gateway-harness.ts
@@ -10,6 +10,7 @@
 import {
 	Gateway, type GatewayOptions, type Dialect, type EndpointChange, type Register, type RegisterAnswer,
 } from '#gateway';
+import {freePort} from '#harness';
 import {createSilentLogger, Metrics} from '#telemetry';
 
 /** A request as an endpoint received it. */
@@ -206,9 +207,7 @@
 	});
 	t.teardown(async () => gateway.stop());
 	while (gateway.config.current === undefined || gateway.directory.size === 0) {
-		await new Promise(resolve => {
-			setTimeout(resolve, 5);
-		});
+		await sleep(5);
 	}
 
 	return {gateway, port};
@@ -246,14 +245,3 @@
 		});
 	});
 }
-
-/** A port that nobody listens on. */
-export async function freePort(): Promise<number> {
-	const server = createServer();
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	const {port} = server.address() as AddressInfo;
-	server.close();
-	await once(server, 'close');
-	return port;
-}
--- a/packages/gateway/__tests__/unit/group-watch.test.ts
+++ b/packages/gateway/__tests__/unit/group-watch.test.ts
@@ -3,16 +3,11 @@
 import {
 	answer, callRaw, chunk, FakeEndpoint, FakeRegister, startGateway, streamHead, testConfig, testRoute,
 } from '../gateway-harness.js';
+import {sleep} from '#core';
 
 const kind = {kind: 'stream', resumable: true, targetGapMs: undefined} as const;
 const request = (id: string, waitMs = 8000) => `POST / HTTP/1.1\r\nHost: h\r\nX-Request-Id: ${id}\r\nX-Wait: ${waitMs}\r\nContent-Length: 0\r\n\r\n`;
 
-async function pause(ms: number): Promise<void> {
-	await new Promise(resolve => {
-		setTimeout(resolve, ms);
-	});
-}
-
 void t.test('a stopped group', async t => {
 	let isRunning = true;
 	const endpoint = await FakeEndpoint.create(t, 'e1', (socket, {id}) => {
@@ -29,7 +24,7 @@
 	t.equal(endpoint.seen.length, 1, 'sent once');
 
 	const waiting = callRaw(port, request('q2'), 3000, '0\r\n\r\n');
-	await pause(300);
+	await sleep(300);
 	t.equal(endpoint.seen.length, 1, 'a request that arrives meanwhile is not sent');
 	isRunning = true;
 	const second = await waiting;
@@ -44,7 +39,7 @@
 	await callRaw(port, request('q0'), 3000, 'not-run\n');
 	// One of four slots may be waited for.
 	const waiting = callRaw(port, request('q1'), 1000, 'group-stopped\n');
-	await pause(50);
+	await sleep(50);
 	const startedAt = performance.now();
 	const refused = await callRaw(port, request('q2'), 1000, 'group-stopped\n');
 	t.match(refused.text, /^HTTP\/1\.1 503 /u);
--- a/packages/gateway/__tests__/unit/peers.test.ts
+++ b/packages/gateway/__tests__/unit/peers.test.ts
@@ -1,9 +1,11 @@
 /** Entries of which the register serves some and turns others away. */
 import t, {type Test} from 'tap';
 import {
-	answer, callRaw, FakeEndpoint, FakeRegister, freePort, startGateway, testConfig, testRoute,
+	answer, callRaw, FakeEndpoint, FakeRegister, startGateway, testConfig, testRoute,
 } from '../gateway-harness.js';
+import {sleep} from '#core';
 import type {EndpointRecord} from '#dispatch';
+import {freePort} from '#harness';
 
 const TRUST_MS = 3000;
 
@@ -29,20 +31,14 @@
 	return text.slice(9, 12);
 }
 
-async function pause(ms: number): Promise<void> {
-	await new Promise(resolve => {
-		setTimeout(resolve, ms);
-	});
-}
-
 void t.test('an entry that the register turns away serves by what its neighbour confirms', async t => {
 	const {registers, ports} = await startPair(t);
 	registers[1].isDown = true;
-	await pause(TRUST_MS + 800);
+	await sleep(TRUST_MS + 800);
 	t.equal(await statusOf(ports[1], 'key-1'), '200');
 	void t.test('and learns of a key that was taken away', async t => {
 		registers[0].config = testConfig([testRoute()], 2, ['key-2']);
-		await pause(2500);
+		await sleep(2500);
 		t.equal(await statusOf(ports[1], 'key-1'), '401');
 		t.equal(await statusOf(ports[1], 'key-2'), '200');
 	});
@@ -52,7 +48,7 @@
 	const {registers, ports, endpoint} = await startPair(t);
 	registers[0].isDown = true;
 	registers[1].isDown = true;
-	await pause(TRUST_MS + 1000);
+	await sleep(TRUST_MS + 1000);
 	const before = endpoint.seen.length;
 	t.equal(await statusOf(ports[0], 'key-1'), '503');
 	t.equal(await statusOf(ports[1], 'key-1'), '503');
@@ -72,9 +68,9 @@
 
 void t.test('one of two entries reads the configuration, the other one when it fails', async t => {
 	const {registers, ports} = await startPair(t);
-	await pause(1500);
+	await sleep(1500);
 	const before = registers.map(({reads}) => reads);
-	await pause(3000);
+	await sleep(3000);
 	const [first, second] = [registers[0].reads - before[0]!, registers[1].reads - before[1]!] as const;
 	t.ok(first + second >= 2 && first + second <= 4, `${first} and ${second} reads in 3 s, one a second together`);
 	const [reader, other] = first > second ? [0, 1] as const : [1, 0] as const;
@@ -85,19 +81,19 @@
 	}
 
 	// The shortest time in which a change must be in force on a platform in use.
-	await pause(2000);
+	await sleep(2000);
 	t.equal(await statusOf(ports[other], 'key-1'), '401');
 	t.equal(await statusOf(ports[reader], 'key-1'), '401', 'also where the register cannot be read');
 });
 
 void t.test('the content of a configuration comes from the register; another entry only tells that it is there', async t => {
 	const {registers, ports} = await startPair(t);
-	await pause(500);
+	await sleep(500);
 	const routes = [testRoute(), ...Array.from({length: 2000}, (_, i) => testRoute({name: `r${i}`, pathPrefix: `/p${i}/`}))];
 	registers[0].config = testConfig(routes, 2, ['key-2']);
 	registers[1].config = registers[0].config;
 	const before = registers.map(({reads}) => reads);
-	await pause(2000);
+	await sleep(2000);
 	t.equal(await statusOf(ports[0], 'key-2'), '200');
 	t.equal(await statusOf(ports[1], 'key-2'), '200');
 	t.ok(registers.every(({reads}, i) => reads > before[i]!), 'both have read it');
--- a/packages/harness/src/child.ts
+++ b/packages/harness/src/child.ts
@@ -10,10 +10,22 @@
 /** A process that has not printed its first JSON line after this time has failed to start. */
 const START_LIMIT_MS = 30_000;
 
-function spawnPiped(module: string, args: readonly string[]) {
-	return spawn(process.execPath, ['--enable-source-maps', module, ...args], {stdio: ['ignore', 'pipe', 'pipe']});
+/** What differs from a stand-in or daemon. */
+export type ChildOptions = {
+	/** Arguments of Node.js itself. */
+	readonly nodeArgs?: readonly string[];
+	/** Variables on top of those of this process. */
+	readonly env?: Readonly<Record<string, string>>;
+	/** Whether a line of output, which must be JSON, shows that the process has started. */
+	readonly isHello?: (line: string) => boolean;
+};
+
+function spawnPiped(module: string, args: readonly string[], {nodeArgs = [], env = {}}: ChildOptions) {
+	return spawn(process.execPath, ['--enable-source-maps', ...nodeArgs, module, ...args], {env: {...process.env, ...env}, stdio: ['ignore', 'pipe', 'pipe']});
 }
 
+const isListening = (line: string) => line.startsWith('{"listening"') || line.startsWith('{"ready"');
+
 const running = new Set<Child>();
 let endsWithThisProcess = false;
 
@@ -49,12 +61,12 @@
 
 export class Child {
 	/**
-	 * Starts a compiled module of `target/packages/` and waits for its first JSON line with one of the given keys.
+	 * Starts a compiled module of `target/` and waits for the JSON line that shows that it has started.
 	 *
 	 * @throws Error with the last output when the process ends or stays silent.
 	 */
-	static async create(name: string, module: string, args: readonly string[]): Promise<Child> {
-		const child = new Child(name, spawnPiped(module, args));
+	static async create(name: string, module: string, args: readonly string[], options: ChildOptions = {}): Promise<Child> {
+		const child = new Child(name, spawnPiped(module, args, options), options.isHello ?? isListening);
 		endWithThisProcess(child);
 		await child.#started;
 		return child;
@@ -65,11 +77,13 @@
 	readonly #process: PipedProcess;
 	readonly #lines: string[] = [];
 	readonly #started: Promise<void>;
+	readonly #isHello: (line: string) => boolean;
 	#hello: Readonly<Record<string, unknown>> = {};
 
-	private constructor(name: string, childProcess: PipedProcess) {
+	private constructor(name: string, childProcess: PipedProcess, isHello: (line: string) => boolean) {
 		this.name = name;
 		this.#process = childProcess;
+		this.#isHello = isHello;
 		this.exited = this.#exit();
 		this.#started = this.#start();
 		createInterface({input: childProcess.stderr}).on('line', line => {
@@ -81,7 +95,7 @@
 		return this.#process.pid ?? 0;
 	}
 
-	/** First JSON line that the process printed. */
+	/** The line that showed that the process had started. */
 	get hello(): Readonly<Record<string, unknown>> {
 		return this.#hello;
 	}
@@ -121,7 +135,7 @@
 			}, START_LIMIT_MS);
 			createInterface({input: this.#process.stdout}).on('line', line => {
 				this.#keep(line);
-				if (line.startsWith('{"listening"') || line.startsWith('{"ready"')) {
+				if (this.#isHello(line)) {
 					clearTimeout(limit);
 					this.#hello = JSON.parse(line) as Record<string, unknown>;
 					resolve();
--- a/packages/rankagent/__tests__/unit/agent.test.ts
+++ b/packages/rankagent/__tests__/unit/agent.test.ts
@@ -1,9 +1,8 @@
 /** Agents beside the ranks of a simulated group, over loopback. */
-import {once} from 'node:events';
-import {createServer, type AddressInfo} from 'node:net';
 import t, {type Test} from 'tap';
 import {SimulatedGroup} from '../../../rankmap/__tests__/simulated-group.js';
-import {failed, ok} from '#core';
+import {failed, ok, sleep} from '#core';
+import {freePort} from '#harness';
 import {RankAgent, type RankEngine} from '#rankagent';
 import type {GroupMap, RankOrder} from '#rankmap';
 import {createSilentLogger, Metrics} from '#telemetry';
@@ -49,24 +48,12 @@
 	}
 }
 
-async function freePort(): Promise<number> {
-	const server = createServer();
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	const {port} = server.address() as AddressInfo;
-	server.close();
-	await once(server, 'close');
-	return port;
-}
-
 /** Runs passes until `done` or the limit; returns whether it was reached. */
 async function runUntil(group: SimulatedGroup, done: () => boolean, limitMs: number): Promise<boolean> {
 	const startedAt = performance.now();
 	while (!done() && performance.now() - startedAt < limitMs) {
 		group.pass();
-		await new Promise(resolve => {
-			setTimeout(resolve, 20);
-		});
+		await sleep(20);
 	}
 
 	return done();
--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -103,12 +103,13 @@
 	}
 
 	async #call(entry: EntryView, attempt: Attempt): Promise<AttemptOutcome> {
-		const {method, path, headers, body} = this.#parts.deployment.encode(attempt);
+		const {deployment} = this.#parts;
+		const {method, path, headers, body} = deployment.encode(attempt);
 		return new Promise(resolve => {
 			const req = request({
 				host: entry.host, port: entry.port, method, path, headers, agent: this.#agentOf(entry),
 			}, res => {
-				void readOutcome(res, attempt).then(finish);
+				void readOutcome(res, attempt, deployment.isSigned(res.headers)).then(finish);
 			});
 			const finish = (outcome: AttemptOutcome) => {
 				clearTimeout(timer);
@@ -137,7 +138,7 @@
 	}
 }
 
-async function readOutcome(res: IncomingMessage, {kind}: Attempt): Promise<AttemptOutcome> {
+async function readOutcome(res: IncomingMessage, {kind}: Attempt, isSigned: boolean): Promise<AttemptOutcome> {
 	const chunks: string[] = [];
 	res.setEncoding('utf8').on('data', (text: string) => {
 		chunks.push(text);
@@ -145,7 +146,6 @@
 	return new Promise(resolve => {
 		const finish = () => {
 			const body = chunks.join('');
-			const isSigned = res.headers['x-replica-signature'] !== undefined;
 			if (kind === 'stream' && res.statusCode === 200) {
 				resolve({kind: 'stream', events: readEvents(body), isComplete: res.complete});
 			} else {
--- a/packages/soak/src/types.ts
+++ b/packages/soak/src/types.ts
@@ -1,4 +1,5 @@
 /** What a soak drives and watches: a deployment of real processes, the callers' attempts and what back ends see. */
+import type {IncomingHttpHeaders} from 'node:http';
 import type {Random} from '#standins-engine';
 
 /** What callers may expect of a request. */
@@ -81,6 +82,8 @@
 	readonly faults: readonly FaultKind[];
 	/** An attempt as it goes over the wire. */
 	readonly encode: (attempt: Attempt) => {readonly method: string; readonly path: string; readonly headers: Readonly<Record<string, string>>; readonly body: string | undefined};
+	/** Whether an answer is a back end's own. */
+	readonly isSigned: (headers: IncomingHttpHeaders) => boolean;
 	/** Faults of the processes themselves so far: exits that nobody asked for, slow stops, memory. */
 	readonly findings: () => readonly string[];
 	readonly close: () => Promise<void>;
