Log the longest gap of each stream, and the pace and batches of each group

Change: a line of an answered stream holds its events, its longest gap and the target; the coordinator logs once a second the mean step, the skew of the map in use and the requests in the batches and behind them. No decision changes.

--- a/packages/gateway/__tests__/gateway-harness.ts
+++ b/packages/gateway/__tests__/gateway-harness.ts
@@ -11,7 +11,7 @@
 	Gateway, type GatewayOptions, type Dialect, type EndpointChange, type Registry, type RegistryResult,
 } from '#gateway';
 import {findFreePort} from '#harness';
-import {createSilentLogger, Metrics} from '#telemetry';
+import {createSilentLogger, Metrics, type Logger} from '#telemetry';
 
 /** A request as received by an endpoint. */
 export type ReceivedRequest = {readonly text: string; readonly id: string; readonly headers: ReadonlyMap<string, string>};
@@ -184,11 +184,12 @@
 }
 
 /** Options that differ from those of an entry without peers that always trusts its keys. */
-export type StartOptions = Partial<Pick<GatewayOptions, 'keyTrustMs' | 'peers' | 'probeGroup'>>;
+export type StartOptions = Partial<Pick<GatewayOptions, 'keyTrustMs' | 'peers' | 'probeGroup' | 'logger'>>;
 
 /** Starts an entry on loopback and waits until it has a configuration and endpoints; `port` is the one for callers. */
-export async function startGateway(t: Test, registry: Registry, {keyTrustMs, peers, probeGroup = async () => undefined}: StartOptions = {}): Promise<{readonly gateway: Gateway; readonly port: number}> {
+export async function startGateway(t: Test, registry: Registry, {keyTrustMs, peers, probeGroup = async () => undefined, logger = createSilentLogger()}: StartOptions = {}): Promise<{readonly gateway: Gateway; readonly port: number; readonly metrics: Metrics}> {
 	const [port, ready] = [await findFreePort(), await findFreePort()];
+	const metrics = Metrics.create();
 	const gateway = await Gateway.create({
 		name: 'entry-1',
 		zone: 'a',
@@ -202,15 +203,15 @@
 		probeGroup,
 		dialect: testDialect,
 		registry,
-		logger: createSilentLogger(),
-		metrics: Metrics.create(),
+		logger,
+		metrics,
 	});
 	t.teardown(async () => gateway.stop());
 	while (gateway.config.current === undefined || gateway.directory.size === 0) {
 		await sleep(5);
 	}
 
-	return {gateway, port};
+	return {gateway, port, metrics};
 }
 
 /** What a caller received: all bytes until the connection ended or `until` was received. */
@@ -245,3 +246,19 @@
 		});
 	});
 }
+
+/** A line that an entry logged. */
+export type LogLine = {readonly message: string; readonly fields: Readonly<Record<string, unknown>>};
+
+/** A logger that keeps the lines of an entry in memory. */
+export function createRecordingLogger(): {readonly logger: Logger; readonly lines: LogLine[]} {
+	const lines: LogLine[] = [];
+	const record = (message: string, fields: LogLine['fields'] = {}) => {
+		lines.push({message, fields});
+	};
+
+	const logger: Logger = {
+		debug: record, info: record, warn: record, error: record, child: () => logger,
+	};
+	return {logger, lines};
+}
--- a/packages/gateway/src/event-log.ts
+++ b/packages/gateway/src/event-log.ts
@@ -5,6 +5,15 @@
 import type {RefusalReason} from './refusals.js';
 import type {Metrics, Logger} from '#telemetry';
 
+/** What the caller of a stream received so far. */
+export type StreamSummary = {
+	readonly events: number;
+	/** Longest time between two events, in ms. */
+	readonly longestGapMs: number;
+	/** The route's target for it, in ms. */
+	readonly targetGapMs: number | undefined;
+};
+
 /** Summary of a request, with the configuration that applied to it. */
 export type RequestSummary = {
 	readonly requestId: string;
@@ -15,6 +24,8 @@
 	readonly configAgeMs: number | undefined;
 	readonly attempts: number;
 	readonly elapsedMs: number;
+	/** Undefined before the first event, and for any other request. */
+	readonly stream: StreamSummary | undefined;
 };
 
 export type EntryEvent
@@ -104,6 +115,7 @@
 				this.#metrics.count('answers', `${Math.floor(event.status / 100)}xx`);
 				this.#metrics.recordLatency('firstByte', event.firstByteMs);
 				this.#metrics.recordLatency('total', event.facts.elapsedMs);
+				this.#countStream(event.facts.stream);
 				return;
 			}
 
@@ -144,6 +156,13 @@
 		}
 	}
 
+	#countStream(stream: StreamSummary | undefined): void {
+		if (stream !== undefined) {
+			this.#metrics.recordLatency('longestGap', stream.longestGapMs);
+			this.#metrics.count('streams', stream.longestGapMs > (stream.targetGapMs ?? Infinity) ? 'gap-over-target' : 'gap-within-target');
+		}
+	}
+
 	#write(event: EntryEvent): void {
 		switch (event.kind) {
 			case 'answered': {
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -8,7 +8,7 @@
 import type {CallerResponse} from './caller-response.js';
 import type {ConnectionPool} from './connection-pool.js';
 import type {CallerRequest, Dialect} from './dialect.js';
-import type {EntryEventLog, RequestSummary} from './event-log.js';
+import type {EntryEventLog, RequestSummary, StreamSummary} from './event-log.js';
 import type {GroupMonitor} from './group-monitor.js';
 import {refusalOf, retryAfterSeconds, type RefusalReason} from './refusals.js';
 import {relayStream, type RelayResult} from './stream-relay.js';
@@ -67,6 +67,7 @@
 	#firstByteMs = 0;
 	#lastEventId: number | undefined;
 	#lastEventAt: number | undefined;
+	#stream: StreamSummary | undefined;
 	#lastEndpoint = '';
 	#failureDetail = '';
 	readonly #context: RequestHandlerContext;
@@ -343,11 +344,13 @@
 			callerResponse: this.#callerResponse,
 			head: isFirst ? this.#context.dialect.headersToCaller(res.rawHeaders) : undefined,
 			lastEventId: this.#lastEventId,
+			previousEventAt: this.#stream === undefined ? undefined : this.#lastEventAt,
 			inactivityTimeoutMs: {first: this.#firstEventTimeoutMs(route), later: STREAM_INACTIVITY_TIMEOUT_MS},
 			remainingMs: this.#remainingMs(route),
 		});
 		this.#lastEventId = result.lastEventId;
 		this.#lastEventAt = result.lastEventAt;
+		this.#addToStreamSummary(route, result);
 		if (result.kind !== 'complete') {
 			exchange.abort();
 		}
@@ -378,6 +381,16 @@
 		}
 	}
 
+	#addToStreamSummary({kind}: Route, {events, longestGapMs}: RelayResult): void {
+		if (events > 0) {
+			this.#stream = {
+				events: (this.#stream?.events ?? 0) + events,
+				longestGapMs: Math.max(this.#stream?.longestGapMs ?? 0, Math.round(longestGapMs)),
+				targetGapMs: kind.kind === 'stream' ? kind.targetGapMs : undefined,
+			};
+		}
+	}
+
 	/** Ends the request when no further attempt can be made. */
 	#fail(reason: RefusalReason): FinalResult {
 		if (this.#callerResponse.isStarted) {
@@ -437,6 +450,7 @@
 			configAgeMs: Number.isFinite(age) ? Math.round(age) : undefined,
 			attempts: this.#attempts,
 			elapsedMs: Math.round(this.#elapsedMs()),
+			stream: this.#stream,
 		};
 	}
 
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -16,6 +16,10 @@
 	readonly lastEventId: number | undefined;
 	/** When the last event was forwarded, or the relay began, in monotonic ms. */
 	readonly lastEventAt: number;
+	/** Number of events forwarded. */
+	readonly events: number;
+	/** Longest time between two events that the caller has received, in ms, over all endpoints of the stream. */
+	readonly longestGapMs: number;
 } & RelayOutcome;
 
 export type RelayInput = {
@@ -26,15 +30,20 @@
 	readonly head: readonly string[] | undefined;
 	/** Id of the last event that the caller has. */
 	readonly lastEventId: number | undefined;
+	/** When an earlier endpoint's last event was forwarded, in monotonic ms; undefined if the caller has no event yet. */
+	readonly previousEventAt: number | undefined;
 	/** Time without a byte after which a stream counts as broken, in ms: before its first byte, and between later ones. */
 	readonly inactivityTimeoutMs: {readonly first: number; readonly later: number};
 	/** Time left for the whole stream, in ms. */
 	readonly remainingMs: number;
 };
 
-export async function relayStream({res, exchange, callerResponse, head, lastEventId, inactivityTimeoutMs, remainingMs}: RelayInput): Promise<RelayResult> {
+export async function relayStream({res, exchange, callerResponse, head, lastEventId, previousEventAt, inactivityTimeoutMs, remainingMs}: RelayInput): Promise<RelayResult> {
 	const splitter = EventSplitter.create(lastEventId);
 	let lastEventAt = performance.now();
+	let gapStartedAt = previousEventAt;
+	let events = 0;
+	let longestGapMs = 0;
 	let isHeadSent = head === undefined;
 	return new Promise(resolve => {
 		const finish = (outcome: RelayOutcome) => {
@@ -42,7 +51,9 @@
 			clearTimeout(inactivityTimer);
 			callerResponse.disconnected.removeEventListener('abort', onDisconnect);
 			res.off('data', onData).off('end', onEnd).off('close', onClose);
-			resolve({...outcome, lastEventId: splitter.lastId, lastEventAt});
+			resolve({
+				...outcome, lastEventId: splitter.lastId, lastEventAt, events, longestGapMs,
+			});
 		};
 
 		const sendHead = () => {
@@ -61,6 +72,9 @@
 			}
 
 			lastEventAt = performance.now();
+			longestGapMs = Math.max(longestGapMs, lastEventAt - (gapStartedAt ?? lastEventAt));
+			gapStartedAt = lastEventAt;
+			events += count;
 			sendHead();
 			if (!callerResponse.write(bytes)) {
 				res.pause();
--- a/packages/rankagent/src/coordinator.ts
+++ b/packages/rankagent/src/coordinator.ts
@@ -4,6 +4,7 @@
  */
 import type {CountsReading} from './counts-delta.js';
 import type {OrderResult, RankEngine} from './engine.js';
+import {PaceLog} from './pace-log.js';
 import type {Result} from '#core';
 import {
 	decideMapChange, LoadWindow, OrderMonitor, planMap, type ExpertShape, type GroupMap, type MapChangeDecision, type MapPlan, type RankCounts, type RankOrder, type RankState,
@@ -76,12 +77,14 @@
 	#map: {readonly epoch: number; readonly version: number; readonly map: GroupMap} | undefined;
 	#window: LoadWindow | undefined;
 	readonly #orderMonitor = OrderMonitor.create();
+	readonly #paceLog: PaceLog;
 	#lastPhase = '';
 	#lastNoPlanReason = '';
 	readonly #options: CoordinatorOptions;
 
 	private constructor(options: CoordinatorOptions) {
 		this.#options = options;
+		this.#paceLog = PaceLog.create(options.logger);
 	}
 
 	/** Whether a switch is in progress, so that the group may be waiting for this process. */
@@ -104,6 +107,7 @@
 	async reconcile(ownState: RankState, mayPlan: boolean): Promise<number> {
 		const members = this.#options.getMembers();
 		const states = await this.#readStates(ownState, members);
+		this.#logPace(states, ownState);
 		this.#expirePlan();
 		const decision = decideMapChange(states.map(({state}) => state), mayPlan ? this.#plan : undefined);
 		this.#logPhase(decision, ownState);
@@ -282,6 +286,15 @@
 		}
 	}
 
+	#logPace(states: readonly ReachableRank[], ownState: RankState): void {
+		const readDemand = () => {
+			const map = this.#map?.epoch === ownState.epoch && this.#map.version === ownState.map ? this.#map.map : undefined;
+			return map === undefined || this.#window === undefined ? undefined : {map, load: this.#window.load()};
+		};
+
+		this.#paceLog.record({states: states.map(({state}) => state), readDemand}, performance.now());
+	}
+
 	/** Logs a reason once until it changes. */
 	#logNoPlan(reason: string, ownState: RankState): void {
 		if (reason !== this.#lastNoPlanReason) {
--- a/packages/rankagent/src/index.ts
+++ b/packages/rankagent/src/index.ts
@@ -6,5 +6,6 @@
 export type {
 	AgentRequest, OrderResult, RankEngine, RankHoldings,
 } from './engine.js';
+export {PaceLog, type GroupView} from './pace-log.js';
 export {createRemoteEngine} from './remote-engine.js';
 export {AgentGroupProbe} from './group-probe.js';
--- a/packages/rankmap/__tests__/simulated-group.ts
+++ b/packages/rankmap/__tests__/simulated-group.ts
@@ -35,7 +35,7 @@
 	state(rank: number): RankState {
 		const {sequence, map, prepared, armed, held, copying} = this.#ranks[rank]!;
 		return {
-			group: 'g', epoch: this.epoch, rank, isOpen: true, size: this.#size, sequence, step: this.step, map, prepared, armed, heldStep: held, pace: 1, isBusy: copying !== undefined,
+			group: 'g', epoch: this.epoch, rank, isOpen: true, size: this.#size, sequence, step: this.step, map, prepared, armed, heldStep: held, pace: 1, running: 0, queued: 0, isBusy: copying !== undefined,
 		};
 	}
 
--- a/packages/rankmap/src/types.ts
+++ b/packages/rankmap/src/types.ts
@@ -41,6 +41,10 @@
 	readonly heldStep: number | undefined;
 	/** Time per unit of work relative to a healthy rank; above 1 is slow. */
 	readonly pace: number;
+	/** Requests in the batch. */
+	readonly running: number;
+	/** Requests that wait for a place in the batch. */
+	readonly queued: number;
 	/** Whether an order is in progress. */
 	readonly isBusy: boolean;
 };
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -23,6 +23,7 @@
 	configChanges: ['Configurations put in force by source.', 'source'],
 	mapChanges: ['Expert map changes by result.', 'result'],
 	crashes: ['Engine crashes seen, by kind.', 'kind'],
+	streams: ['Complete streams by their longest time between two events against the target of their route.', 'gap'],
 	tokens: ['Stream events passed on, by direction.', 'direction'],
 } as const;
 
@@ -30,7 +31,7 @@
 export type CounterName = keyof typeof counterDefinitions;
 
 /** Names of the latency histograms, which are exposed in seconds. */
-const histogramNames = ['firstByte', 'total', 'claim', 'attempt', 'platformCall'] as const;
+const histogramNames = ['firstByte', 'total', 'claim', 'attempt', 'platformCall', 'longestGap'] as const;
 export type HistogramName = (typeof histogramNames)[number];
 
 function metricName(name: string): string {
