Do not take callers with a shorter deadline of their own for late ones

Callers saw: new requests were sent with the lowest priority and refused first as soon as places were few. Cause: a caller that comes back after a refusal waits only for the rest of its time, so a wait shorter than the timeout of the route by 0.6 of the target counted as time already spent. Class of fault: a decision inferred from an input that does not carry it. Change: a wait counts as the rest of an earlier one from a fifth below the timeout on. Evidence: the new case of request-priority.test.ts fails before (late and priority 6 in place of 1), passes now; the others, among them a caller with 5,500 of 8,000 ms, pass unchanged. Conclusion: who came back within the last fifth cannot be told from a new caller and is treated as one.

--- a/packages/dispatch/__tests__/unit/request-priority.test.ts
+++ b/packages/dispatch/__tests__/unit/request-priority.test.ts
@@ -20,6 +20,9 @@
 	{
 		name: 'caller retried after a refusal', input: input({waitMs: 5500}), late: true, priority: 6,
 	},
+	{
+		name: 'caller with a shorter deadline of its own', input: input({waitMs: 7100}), late: false, priority: 1,
+	},
 	{
 		name: 'no wait time given', input: input({waitMs: undefined}), late: false, priority: 1,
 	},
--- a/packages/dispatch/src/request-priority.ts
+++ b/packages/dispatch/src/request-priority.ts
@@ -21,13 +21,16 @@
 /** Share of the target after which a request counts as late: the endpoint needs the rest to process a prompt. */
 const ON_TIME_SHARE = 0.6;
 
+/** Share of the route's timeout by which a caller's own deadline may be shorter without telling that it was refused before. */
+const DEADLINE_VARIATION_SHARE = 0.2;
+
 /** Added to the priority of late requests; places them behind every priority in use. */
 const LATE_PRIORITY_OFFSET = 5;
 
 /** Whether a request can no longer meet its target. */
 export function isLate({targetMs, elapsedMs, waitMs, timeoutMs}: PriorityInput): boolean {
-	// A caller that retries after a refusal waits only for the rest of its time.
-	const spentBeforeMs = waitMs === undefined ? 0 : Math.max(0, timeoutMs - waitMs);
+	// A caller that retries after a refusal waits only for the rest of its time, but callers also have deadlines of their own.
+	const spentBeforeMs = waitMs === undefined ? 0 : Math.max(0, (timeoutMs * (1 - DEADLINE_VARIATION_SHARE)) - waitMs);
 	return elapsedMs + spentBeforeMs > targetMs * ON_TIME_SHARE;
 }
 
@@ -36,8 +39,8 @@
 	return isLate(input) ? input.priority + LATE_PRIORITY_OFFSET : input.priority;
 }
 
-/** Share of an endpoint's slots available to late requests; the rest is reserved for requests that can still meet their target. */
-const LATE_SLOT_SHARE = 0.75;
+/** Share of the capacity available to late requests; the rest is reserved for requests that can still meet their target. */
+export const LATE_SLOT_SHARE = 0.75;
 
 /** An endpoint is full when it has this many requests per slot; a short queue at the endpoint keeps its slots busy. */
 const MAX_REQUESTS_PER_SLOT = 2;
