Limit concurrent streams by the gaps between their events

Cause: entries filled all slots and queued as many requests again behind them. The ranks of a group make each step together, and a step grows with the requests in the batches: 66 ms with 236, 119 ms with 404. Over the target of 120 ms all streams are late. Smaller batches complete as many: 3.4 to 3.7 requests per ms of step throughout, so the full batches served nobody. Once full they stayed full, as arrivals (181 a second) exceed what completes (155). Class of fault: overload control by a count of places instead of by the effect that callers have a target for. Ruled out: held steps (0.0 s in all); skew alone (1.3 to 1.6 in the seconds in which batches filled); late first events (median 230 to 307 ms of 403). Change: StreamCapacity estimates from the gaps of an entry's own streams how many requests would just meet the target; further streams are refused at once. It limits nothing far from the target, below half of the slots, or when the target is missed even so. The refusal's detail names the numbers.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -11,7 +11,8 @@
 export {chooseEndpoint, type Candidate} from './endpoint-choice.js';
 export {refreshAgeMs} from './config-refresh.js';
 export {EventSplitter, type SplitEvents} from './event-splitter.js';
+export {StreamCapacity, type ServiceLoad, type StreamLimit} from './stream-capacity.js';
 export {LoadTracker, PEER_LOAD_TTL_MS, type InFlightCounts} from './load-tracker.js';
 export {
-	effectivePriority, isLate, maxInFlightFor, queueLimitFor, type PriorityInput,
+	effectivePriority, isLate, LATE_SLOT_SHARE, maxInFlightFor, queueLimitFor, type PriorityInput,
 } from './request-priority.js';
--- /dev/null
+++ b/packages/dispatch/src/stream-capacity.ts
@@ -0,0 +1,117 @@
+/**
+ * Limits the concurrent streams of a service so that the gaps between their events stay within the target of their route.
+ * Endpoints process their batch in steps, and one step makes one event of each stream, so a step that exceeds the target
+ * makes every stream of the batch late. Steps take longer the more requests run: beyond the limit, more streams at once
+ * complete no more streams per second.
+ */
+
+/** A limit, and what it follows from. */
+export type StreamLimit = {
+	/** Number of requests in flight at the service at which no stream is added; Infinity if nothing suggests a limit. */
+	readonly maxInFlight: number;
+	/** Gap between events that the slower steps of the window had, in ms; undefined if too few were seen. */
+	readonly gapMs: number | undefined;
+};
+
+/** Length of the window whose steps count, in ms: longer than a usual stream and than the time between two shifts of demand, each of which makes steps slow for a while. */
+const WINDOW_MS = 3000;
+
+/** Length of a part of the window, in ms: within it, the number of requests in flight changes little. */
+const SLICE_MS = 250;
+
+/** Quantile of the steps in the window that decides. The slowest ones are stalls of the group or of a connection, which have nothing to do with the number of requests. */
+const QUANTILE = 0.9;
+
+/** Share of the target that this quantile may reach: a stream with many events meets slower steps too. */
+const TARGET_SHARE = 0.85;
+
+/** Share of the target below which nothing is limited: far from the target, the limit is underestimated, since part of a step does not depend on the requests. */
+const UNLIMITED_SHARE = 0.75;
+
+/** Minimum number of gaps in the window for a limit. */
+const MIN_GAPS = 50;
+
+/** Lowest limit, as a share of the slots: with fewer requests, the part of a step that does not depend on them prevails. */
+const MIN_LIMIT_SHARE = 0.5;
+
+/** Share of the slots from which steps tell how their time grows with the requests; below the lowest limit, since requests in flight vary around a limit. */
+const MIN_OBSERVED_SHARE = 0.4;
+
+/** Time for which nothing is limited after the lowest limit did not bring gaps within the target, in ms: something else slows the steps then, and refusals would not help. */
+const SUSPENSION_MS = 10_000;
+
+/** Load of a service. */
+export type ServiceLoad = {
+	/** Requests in flight from all entries. */
+	readonly inFlight: number;
+	/** Number of requests that its endpoints run concurrently. */
+	readonly slots: number;
+};
+
+/** Gaps between events in one part of the window, and the load at its start. */
+type Slice = ServiceLoad & {readonly startedAt: number; readonly gaps: number[]};
+
+export class StreamCapacity {
+	/** Creates an estimate without observations, which limits nothing. */
+	static create(): StreamCapacity {
+		return new StreamCapacity();
+	}
+
+	#slices: readonly Slice[] = [];
+	#estimate: Estimate = {gapMs: undefined, gapPerRequestMs: 0};
+	#suspendedUntil = Number.NEGATIVE_INFINITY;
+
+	/**
+	 * Records the time between two events of one stream.
+	 *
+	 * @param readLoad - Reads the load of the service.
+	 * @param now - Monotonic ms.
+	 */
+	record(gapMs: number, readLoad: () => ServiceLoad, now: number): void {
+		let current = this.#slices.at(-1);
+		if (current === undefined || now - current.startedAt >= SLICE_MS) {
+			current = {...readLoad(), startedAt: now, gaps: []};
+			this.#slices = [...this.#slices.filter(({startedAt}) => now - startedAt < WINDOW_MS), current];
+			this.#estimate = estimateFrom(this.#slices);
+		}
+
+		current.gaps.push(gapMs);
+	}
+
+	/**
+	 * The limit for the streams of a route at `now` (monotonic ms).
+	 *
+	 * @param targetGapMs - The route's target for the longest gap between two events.
+	 */
+	limitFor(targetGapMs: number, now: number): StreamLimit {
+		const {gapMs, gapPerRequestMs} = this.#estimate;
+		const newest = this.#slices.at(-1);
+		if (gapMs === undefined || newest === undefined || gapMs < targetGapMs * UNLIMITED_SHARE || now - newest.startedAt > WINDOW_MS) {
+			return {maxInFlight: Infinity, gapMs};
+		}
+
+		const goalMs = targetGapMs * TARGET_SHARE;
+		const lowest = newest.slots * MIN_LIMIT_SHARE;
+		const limit = goalMs / gapPerRequestMs;
+		if (limit < lowest && gapMs > goalMs) {
+			this.#suspendedUntil = now + SUSPENSION_MS;
+		}
+
+		return {maxInFlight: now < this.#suspendedUntil ? Infinity : Math.max(lowest, limit), gapMs};
+	}
+}
+
+/** What the slower steps of a window took, in total and per request in flight. */
+type Estimate = {readonly gapMs: number | undefined; readonly gapPerRequestMs: number};
+
+function estimateFrom(allSlices: readonly Slice[]): Estimate {
+	const slices = allSlices.filter(({inFlight, slots}) => inFlight > 0 && inFlight >= slots * MIN_OBSERVED_SHARE);
+	const gaps = slices.flatMap(slice => slice.gaps);
+	return gaps.length < MIN_GAPS
+		? {gapMs: undefined, gapPerRequestMs: 0}
+		: {gapMs: quantileOf(gaps), gapPerRequestMs: quantileOf(slices.flatMap(({gaps, inFlight}) => gaps.map(gapMs => gapMs / inFlight)))};
+}
+
+function quantileOf(values: readonly number[]): number {
+	return values.toSorted((a, b) => a - b)[Math.floor((values.length - 1) * QUANTILE)]!;
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,7 +14,7 @@
 import {RetryBudget} from '#coordination';
 import {sleep, type Address} from '#core';
 import {
-	ConfigCache, EndpointDirectory, EndpointHealth, LoadTracker, readInstant, type EndpointRecord,
+	ConfigCache, EndpointDirectory, EndpointHealth, LoadTracker, readInstant, StreamCapacity, type EndpointRecord,
 } from '#dispatch';
 import type {Logger, Metrics} from '#telemetry';
 
@@ -72,6 +72,7 @@
 	readonly #context: RequestHandlerContext;
 	readonly #stop = new AbortController();
 	readonly #budgets = new Map<string, RetryBudget>();
+	readonly #capacities = new Map<string, StreamCapacity>();
 	#callerServer: CallerServer | undefined;
 	#isStopping = false;
 	readonly #options: GatewayOptions;
@@ -92,6 +93,7 @@
 				probe: options.probeGroup, endpointsOf: service => this.#groupMembers(service), events: this.#events, random: Math.random,
 			}, this.#stop.signal),
 			budgetOf: service => this.#budgetOf(service),
+			capacityOf: service => this.#capacityOf(service),
 			keyTrustMs: options.keyTrustMs,
 			now: readInstant,
 			random: Math.random,
@@ -185,6 +187,12 @@
 		return hasGroups ? this.directory.endpointsOf(service, performance.now()) : [];
 	}
 
+	#capacityOf(service: string): StreamCapacity {
+		const capacity = this.#capacities.get(service) ?? StreamCapacity.create();
+		this.#capacities.set(service, capacity);
+		return capacity;
+	}
+
 	#budgetOf(service: string): RetryBudget {
 		let budget = this.#budgets.get(service);
 		if (budget === undefined) {
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -14,8 +14,8 @@
 import {relayStream, type RelayResult} from './stream-relay.js';
 import type {RetryBudget} from '#coordination';
 import {
-	chooseEndpoint, effectivePriority, isLate, maxInFlightFor, queueLimitFor, type AttemptOutcome, type EndpointDirectory, type EndpointHealth, type EndpointRecord, type Instant, type LoadTracker,
-	type PriorityInput, type Route, type Workspace,
+	chooseEndpoint, effectivePriority, isLate, LATE_SLOT_SHARE, maxInFlightFor, queueLimitFor, type AttemptOutcome, type EndpointDirectory, type EndpointHealth, type EndpointRecord, type Instant, type LoadTracker,
+	type PriorityInput, type Route, type ServiceLoad, type StreamCapacity, type Workspace,
 } from '#dispatch';
 
 /** State and services shared by all requests. */
@@ -29,6 +29,8 @@
 	readonly groups: GroupMonitor;
 	/** Retry budget of this entry for a service. */
 	readonly budgetOf: (service: string) => RetryBudget;
+	/** Capacity of a service for streams, as this entry sees it. */
+	readonly capacityOf: (service: string) => StreamCapacity;
 };
 
 /** Maximum number of failed connections per request. They use no attempt but take time, so the caller is asked to retry after that many. */
@@ -131,7 +133,7 @@
 
 			const choice = this.#chooseEndpoint(route);
 			if (choice.kind === 'none') {
-				return this.#fail(choice.reason);
+				return this.#fail(choice.reason, choice.detail);
 			}
 
 			const result = await this.#attempt(route, choice.endpoint);
@@ -144,29 +146,34 @@
 
 	/** Waits for a stopped group, but no longer than the caller would. Returns whether it runs. */
 	async #awaitRunningGroup(): Promise<boolean> {
-		const {groups, directory, load} = this.#context;
+		const {groups, load} = this.#context;
 		if (!groups.isStopped(this.#service)) {
 			return true;
 		}
 
 		const now = this.#monotonicNow();
-		const slots = directory.endpointsOf(this.#service, now).reduce((sum, endpoint) => sum + endpoint.slots, 0);
+		const {slots} = this.#serviceLoad();
 		return groups.waitUntilRunning(this.#service, {
 			timeoutMs: MAX_GROUP_WAIT_MS - this.#sinceProgressMs(), queueLimit: queueLimitFor(slots, load.entryCount(now)), signal: this.#callerResponse.disconnected,
 		});
 	}
 
-	#chooseEndpoint(route: Route): {readonly kind: 'chosen'; readonly endpoint: EndpointRecord} | {readonly kind: 'none'; readonly reason: RefusalReason} {
+	#chooseEndpoint(route: Route): {readonly kind: 'chosen'; readonly endpoint: EndpointRecord} | {readonly kind: 'none'; readonly reason: RefusalReason; readonly detail: string} {
 		const {directory, health, load, random} = this.#context;
 		const now = this.#monotonicNow();
 		const endpoints = directory.endpointsOf(this.#service, now);
 		const untried = endpoints.filter(({id}) => !this.#triedEndpoints.has(id));
 		if (untried.length === 0) {
-			return {kind: 'none', reason: endpoints.length === 0 ? 'no-endpoint' : 'unreachable'};
+			return {kind: 'none', reason: endpoints.length === 0 ? 'no-endpoint' : 'unreachable', detail: ''};
 		}
 
 		const isNewStream = route.kind.kind === 'stream' && !this.#callerResponse.isStarted;
 		const isLateRequest = isNewStream && isLate(this.#priorityInput(route));
+		const overload = isNewStream ? this.#findOverload(route, isLateRequest) : undefined;
+		if (overload !== undefined) {
+			return {kind: 'none', reason: 'overload', detail: overload};
+		}
+
 		const candidates = untried.map(endpoint => ({
 			...endpoint,
 			maxInFlight: isNewStream ? maxInFlightFor(endpoint.slots, isLateRequest) : Infinity,
@@ -175,7 +182,30 @@
 			isInBackoff: health.isInBackoff(endpoint.id, now),
 		}));
 		const endpoint = chooseEndpoint(candidates, random)!;
-		return endpoint.inFlight >= endpoint.maxInFlight ? {kind: 'none', reason: 'overload'} : {kind: 'chosen', endpoint};
+		return endpoint.inFlight >= endpoint.maxInFlight ? {kind: 'none', reason: 'overload', detail: 'all endpoints are full'} : {kind: 'chosen', endpoint};
+	}
+
+	/** Why another stream would make the gaps of all streams of the service too long; undefined if it would not. */
+	#findOverload({kind}: Route, isLateRequest: boolean): string | undefined {
+		const targetGapMs = kind.kind === 'stream' ? kind.targetGapMs : undefined;
+		if (targetGapMs === undefined) {
+			return undefined;
+		}
+
+		const {maxInFlight, gapMs} = this.#context.capacityOf(this.#service).limitFor(targetGapMs, this.#monotonicNow());
+		const limit = maxInFlight * (isLateRequest ? LATE_SLOT_SHARE : 1);
+		const {inFlight} = this.#serviceLoad();
+		return inFlight < limit ? undefined : `${inFlight} in flight of ${Math.floor(limit)}, gaps of ${Math.round(gapMs ?? 0)} ms`;
+	}
+
+	#serviceLoad(): ServiceLoad {
+		const {directory, load} = this.#context;
+		const now = this.#monotonicNow();
+		const endpoints = directory.endpointsOf(this.#service, now);
+		return {
+			inFlight: endpoints.reduce((sum, {id}) => sum + load.inFlight(id, now), 0),
+			slots: endpoints.reduce((sum, {slots}) => sum + slots, 0),
+		};
 	}
 
 	async #attempt(route: Route, endpoint: EndpointRecord): Promise<AttemptResult> {
@@ -347,6 +377,9 @@
 			previousEventAt: this.#stream === undefined ? undefined : this.#lastEventAt,
 			inactivityTimeoutMs: {first: this.#firstEventTimeoutMs(route), later: STREAM_INACTIVITY_TIMEOUT_MS},
 			remainingMs: this.#remainingMs(route),
+			onGap: gapMs => {
+				this.#context.capacityOf(this.#service).record(gapMs, () => this.#serviceLoad(), this.#monotonicNow());
+			},
 		});
 		this.#lastEventId = result.lastEventId;
 		this.#lastEventAt = result.lastEventAt;
@@ -392,13 +425,13 @@
 	}
 
 	/** Ends the request when no further attempt can be made. */
-	#fail(reason: RefusalReason): FinalResult {
+	#fail(reason: RefusalReason, detail = ''): FinalResult {
 		if (this.#callerResponse.isStarted) {
 			return this.#cutOffResponse(undefined, reason);
 		}
 
 		// A Retry-After promises that the request did not run, which is not known after an attempt with an unknown outcome.
-		return {kind: 'refuse', reason: this.#mayHaveRun && refusalOf(reason).mayRetry ? 'unknown-outcome' : reason};
+		return {kind: 'refuse', reason: this.#mayHaveRun && refusalOf(reason).mayRetry ? 'unknown-outcome' : reason, detail: this.#failureDetail === '' ? detail : this.#failureDetail};
 	}
 
 	#failTimedOut(): FinalResult {
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -36,9 +36,11 @@
 	readonly inactivityTimeoutMs: {readonly first: number; readonly later: number};
 	/** Time left for the whole stream, in ms. */
 	readonly remainingMs: number;
+	/** Called with the time between two events of this endpoint, in ms. */
+	readonly onGap: (gapMs: number) => void;
 };
 
-export async function relayStream({res, exchange, callerResponse, head, lastEventId, previousEventAt, inactivityTimeoutMs, remainingMs}: RelayInput): Promise<RelayResult> {
+export async function relayStream({res, exchange, callerResponse, head, lastEventId, previousEventAt, inactivityTimeoutMs, remainingMs, onGap}: RelayInput): Promise<RelayResult> {
 	const splitter = EventSplitter.create(lastEventId);
 	let lastEventAt = performance.now();
 	let gapStartedAt = previousEventAt;
@@ -71,7 +73,12 @@
 				return;
 			}
 
+			const previousAt = lastEventAt;
 			lastEventAt = performance.now();
+			if (events > 0) {
+				onGap(lastEventAt - previousAt);
+			}
+
 			longestGapMs = Math.max(longestGapMs, lastEventAt - (gapStartedAt ?? lastEventAt));
 			gapStartedAt = lastEventAt;
 			events += count;
