Find the part of a prompt that crashes endpoints, and refuse it after two crashes

Cause: entries kept no evidence of crashes at all on the platform; requests with that part were sent, and sent again, as any other. The product's quarantine knows fingerprints of whole requests, and no two of these are alike. Class of fault: protection that identifies repeats by the whole request, where the cause is a part of it. Change: SuspectParts (packages/quarantine, pure) holds suspects, probes and blocks; CrashGuard checks whether an endpoint crashed and admits requests; entries exchange suspects with their counts, and the reachable one with the smallest address grants probes. Refusals suspect-part (503, with a time to retry) and crashing-part (503, without).

--- a/packages/gateway/__tests__/gateway-harness.ts
+++ b/packages/gateway/__tests__/gateway-harness.ts
@@ -110,6 +110,7 @@
 		lastEventId: undefined,
 		promptTokens: 0,
 		maxOutputTokens: 0,
+		sharedParts: headers['x-parts'] === undefined ? [] : String(headers['x-parts']).split(','),
 	}),
 	headersToEndpoint: (req, forwarding) => [
 		...req.headers,
--- /dev/null
+++ b/packages/gateway/__tests__/unit/crashing-part.test.ts
@@ -0,0 +1,72 @@
+/** Requests that share a part of their prompt, and nothing else, crash one endpoint after the other. */
+import {randomInt} from 'node:crypto';
+import t, {type Test} from 'tap';
+import {
+	callRaw, chunk, FakeEndpoint, FakeRegistry, startGateway, streamHead, testConfig, testRoute,
+} from '../gateway-harness.js';
+import {sleep} from '#core';
+import {findFreePort} from '#harness';
+
+const ENDPOINTS = 7;
+const ROUNDS = 3;
+
+/** Time between two rounds, in ms: longer than two exchanges between entries and the interval between probes. */
+const ROUND_MS = 1100;
+
+/** Starts endpoints that end for good when they begin to answer a request for which `isDeadly` returns true. */
+async function startEndpoints(t: Test, isDeadly: (parts: string) => boolean): Promise<{readonly endpoints: readonly FakeEndpoint[]; readonly crashed: Set<number>}> {
+	const crashed = new Set<number>();
+	const endpoints: FakeEndpoint[] = await Promise.all(Array.from({length: ENDPOINTS}, async (_, index) => FakeEndpoint.create(t, `e${index}`, (socket, {id, headers}) => {
+		if (isDeadly(headers.get('x-parts') ?? '')) {
+			crashed.add(index);
+			endpoints[index]!.close();
+			return;
+		}
+
+		socket.write(`${streamHead(id)}${chunk('id: 1\ndata: a\n\n')}${chunk('')}`);
+	})));
+	return {endpoints, crashed};
+}
+
+const cases: ReadonlyArray<{readonly name: string; readonly entries: 1 | 2; readonly deadly: 'always' | 'once'; readonly maxCrashes: number; readonly lastStatus: string}> = [
+	{
+		name: 'a part that crashes each endpoint is refused after two crashes', entries: 1, deadly: 'always', maxCrashes: 2, lastStatus: '503',
+	},
+	{
+		name: 'two entries find it together', entries: 2, deadly: 'always', maxCrashes: 2, lastStatus: '503',
+	},
+	{
+		name: 'a part is served again after a crash for another reason', entries: 2, deadly: 'once', maxCrashes: 1, lastStatus: '200',
+	},
+];
+
+for (const {name, entries, deadly, maxCrashes, lastStatus} of cases) {
+	await t.test(name, async t => {
+		const {endpoints, crashed} = await startEndpoints(t, parts => parts.includes('bad') && (deadly === 'always' || crashed.size === 0));
+		const config = testConfig([testRoute({kind: {kind: 'stream', resumable: true, targetGapMs: undefined}, timeoutMs: 8000})]);
+		const records = endpoints.map(endpoint => endpoint.record());
+		const peerPorts = [await findFreePort(), await findFreePort()];
+		const ports: number[] = [];
+		for (const peerPort of peerPorts.slice(0, entries)) {
+			const {port} = await startGateway(t, FakeRegistry.create(config, records), {peers: {host: '127.0.0.1', port: peerPort, seeds: peerPorts.map(seed => `127.0.0.1:${seed}`)}});
+			ports.push(port);
+		}
+
+		const statusOf = async (entry: number, parts: string) => {
+			const {text} = await callRaw(ports[entry % entries]!, `POST / HTTP/1.1\r\nHost: h\r\nX-Request-Id: q${randomInt(1e9)}\r\nX-Wait: 8000\r\nX-Parts: ${parts}\r\nContent-Length: 0\r\n\r\n`, 3000, '\r\n\r\n');
+			return text.slice(9, 12);
+		};
+
+		await sleep(ROUND_MS);
+		let last = '';
+		for (let round = 0; round < ROUNDS; round += 1) {
+			last = await statusOf(round, 'first,bad');
+			await sleep(ROUND_MS);
+			t.equal(await statusOf(round + 1, 'first'), '200', 'a sound request with the same first part is served');
+			await sleep(ROUND_MS);
+		}
+
+		t.ok(crashed.size <= maxCrashes, `${crashed.size} crashes`);
+		t.equal(last, lastStatus);
+	});
+}
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -23,6 +23,8 @@
 	/** Number of prompt tokens, and maximum number of output tokens; 0 if not given. */
 	readonly promptTokens: number;
 	readonly maxOutputTokens: number;
+	/** Ids of the parts of the prompt that other requests may share, in order. */
+	readonly sharedParts: readonly string[];
 };
 
 /** Information that the entry adds to a forwarded request. */
--- a/packages/gateway/src/event-log.ts
+++ b/packages/gateway/src/event-log.ts
@@ -36,6 +36,8 @@
 		| {readonly kind: 'attempt-failed'; readonly requestId: string; readonly attempt: number; readonly endpoint: string; readonly outcome: string; readonly detail: string; readonly inFlight: number; readonly willRetry: boolean}
 		| {readonly kind: 'configuration'; readonly version: number; readonly source: string; readonly routes: number; readonly workspaces: number}
 		| {readonly kind: 'endpoint'; readonly id: string; readonly service: string; readonly change: string; readonly source: string}
+		/** A part of prompts that may crash endpoints. */
+		| {readonly kind: 'part'; readonly part: string; readonly change: 'suspected' | 'reported' | 'probed' | 'cleared' | 'blocked'; readonly endpoint: string | undefined}
 		| {readonly kind: 'dependency'; readonly dependency: string; readonly isReachable: boolean; readonly detail: string}
 		| {readonly kind: 'skipped-input'; readonly where: string; readonly detail: string}
 		| {readonly kind: 'lifecycle'; readonly step: string; readonly detail: Readonly<Record<string, unknown>>};
@@ -150,6 +152,11 @@
 				break;
 			}
 
+			case 'part': {
+				this.#metrics.count('crashes', `part-${event.change}`);
+				break;
+			}
+
 			case 'endpoint':
 			case 'skipped-input':
 			case 'lifecycle':
@@ -209,6 +216,11 @@
 				return;
 			}
 
+			case 'part': {
+				this.#logger.warn(`part ${event.change}`, {part: event.part, endpoint: event.endpoint});
+				return;
+			}
+
 			case 'dependency': {
 				const {kind, ...fields} = event;
 				this.#logger.warn(event.isReachable ? 'dependency regained' : 'dependency lost', fields);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,6 +2,7 @@
 import {keysAreTrusted} from './admission.js';
 import {CallerServer} from './caller-server.js';
 import {ConnectionPool} from './connection-pool.js';
+import {CrashGuard} from './crash-guard.js';
 import type {Dialect} from './dialect.js';
 import {EntryEventLog} from './event-log.js';
 import {GroupMonitor, type GroupProbe} from './group-monitor.js';
@@ -16,6 +17,7 @@
 import {
 	ConfigCache, EndpointDirectory, EndpointHealth, LoadTracker, readInstant, StreamCapacity, type EndpointRecord,
 } from '#dispatch';
+import {SuspectParts} from '#quarantine';
 import type {Logger, Metrics} from '#telemetry';
 
 export type GatewayOptions = {
@@ -74,6 +76,7 @@
 	readonly #budgets = new Map<string, RetryBudget>();
 	readonly #capacities = new Map<string, StreamCapacity>();
 	#callerServer: CallerServer | undefined;
+	#peerExchange: PeerExchange | undefined;
 	#isStopping = false;
 	readonly #options: GatewayOptions;
 
@@ -81,12 +84,22 @@
 		this.#options = options;
 		const monotonicNow = () => performance.now();
 		this.#events = EntryEventLog.create(options.logger, options.metrics, monotonicNow);
+		const pool = ConnectionPool.create(monotonicNow, this.#stop.signal);
+		const crashGuard: CrashGuard = CrashGuard.create({
+			entry: options.name,
+			suspects: SuspectParts.create(),
+			pool,
+			requestProbe: async parts => this.#peerExchange?.requestProbe(parts) ?? crashGuard.takeProbe(parts),
+			events: this.#events,
+			now: monotonicNow,
+		});
 		this.#context = {
 			config: this.config,
 			directory: this.directory,
 			health: EndpointHealth.create(),
 			load: LoadTracker.create(),
-			pool: ConnectionPool.create(monotonicNow, this.#stop.signal),
+			pool,
+			crashGuard,
 			dialect: options.dialect,
 			events: this.#events,
 			groups: GroupMonitor.create({
@@ -149,15 +162,14 @@
 			config: this.config, directory: this.directory, events: this.#events, now: readInstant,
 		};
 		const syncContext = {...state, registry: options.registry};
-		let peerExchange: PeerExchange | undefined;
 		if (options.peers !== undefined) {
 			const {host, port, seeds} = options.peers;
-			peerExchange = await PeerExchange.create({
-				...state, address: `${host}:${port}`, host, port, seeds, load: this.#context.load,
+			this.#peerExchange = await PeerExchange.create({
+				...state, address: `${host}:${port}`, host, port, seeds, load: this.#context.load, crashGuard: this.#context.crashGuard,
 			}, signal);
 		}
 
-		void syncConfig(syncContext, () => peerExchange?.polledPeers ?? 0, signal);
+		void syncConfig(syncContext, () => this.#peerExchange?.polledPeers ?? 0, signal);
 		void syncEndpoints(syncContext, signal);
 		this.#callerServer = await CallerServer.create({...options.callers, context: this.#context, dialect: options.dialect});
 		await serveStatus(options.ready.host, options.ready.port, async () => this.#readiness(), signal);
--- a/packages/gateway/src/peer-exchange.ts
+++ b/packages/gateway/src/peer-exchange.ts
@@ -1,14 +1,16 @@
 /**
- * Exchange of state between entries: requests in flight, the configuration and the age of its confirmation, and endpoints that
- * leave. The registry may respond to one entry and refuse another, so each entry polls its peers when its own data becomes stale. An
+ * Exchange of state between entries: requests in flight, the configuration and the age of its confirmation, endpoints that
+ * leave, and parts of prompts that may crash endpoints. The registry may respond to one entry and refuse another, so each entry polls its peers when its own data becomes stale. An
  * age is accepted only from a response, and counted from the time at which the request was sent.
  */
+import type {CrashGuard} from './crash-guard.js';
 import {recordConfigChange, type EntryState} from './registry.js';
 import {sleep} from '#core';
 import {
 	FleetConfig, type EndpointRecord, type FleetConfigData, type Instant, type EndpointTombstone, type LoadTracker, type InFlightCounts,
 } from '#dispatch';
 import {RequestClient, RequestServer} from '#links';
+import type {PartReport} from '#quarantine';
 
 /** Request of one entry to another. */
 export type PeerRequest = {
@@ -21,6 +23,10 @@
 	readonly wantsConfig: boolean;
 	/** Whether it needs the endpoints because it cannot read the registry or has none. */
 	readonly wantsEndpoints: boolean;
+	/** Undefined from an entry of an earlier version. */
+	readonly suspects: readonly PartReport[] | undefined;
+	/** Parts of which the requesting entry would run a probe; undefined for none. */
+	readonly probe: readonly string[] | undefined;
 };
 
 /** Response to a request. */
@@ -38,6 +44,10 @@
 	readonly endpoints: readonly EndpointRecord[] | undefined;
 	/** Whether it can read the registry. */
 	readonly isRegisterInReach: boolean;
+	/** Undefined from an entry of an earlier version. */
+	readonly suspects: readonly PartReport[] | undefined;
+	/** Whether the requested probe may run now; false if none was requested. */
+	readonly isProbeGranted: boolean;
 };
 
 export type PeerExchangeOptions = EntryState & {
@@ -47,6 +57,7 @@
 	readonly port: number;
 	readonly seeds: readonly string[];
 	readonly load: LoadTracker;
+	readonly crashGuard: CrashGuard;
 };
 
 /** Interval at which entries exchange their load, in ms: several times during a request. */
@@ -87,6 +98,27 @@
 		return [...this.#peers].filter(([address, {isReachable}]) => isReachable && this.#isPolled(address)).length;
 	}
 
+	/**
+	 * Asks whether a probe of these parts may run. The reachable entry with the smallest address grants the probes of all, so that no
+	 * two run at the same time; an entry without peers grants its own.
+	 */
+	async requestProbe(parts: readonly string[]): Promise<boolean> {
+		const granting = [...this.#peers]
+			.filter(([address, {isReachable}]) => isReachable && address < this.#options.address)
+			.toSorted(([a], [b]) => (a < b ? -1 : 1));
+		for (const [address, peer] of granting) {
+			const result = await peer.link.request(this.#createRequest(this.#options.now(), parts), POLL_TIMEOUT_MS);
+			if (result.kind === 'ok') {
+				this.#options.crashGuard.merge((result.value as PeerResponse).suspects ?? []);
+				return (result.value as PeerResponse).isProbeGranted;
+			}
+
+			this.#setReachable(address, peer, false);
+		}
+
+		return this.#options.crashGuard.takeProbe(parts);
+	}
+
 	#needsConfig(now: Instant): boolean {
 		const {config} = this.#options;
 		return config.ageMs(now) > POLL_ALL_AGE_MS || (config.isBehind && !config.isRegistryReachable);
@@ -123,17 +155,9 @@
 	}
 
 	async #poll(address: string, peer: Peer): Promise<void> {
-		const {config, directory, load, now} = this.#options;
-		const sentAt = now();
-		const request: PeerRequest = {
-			from: this.#options.address,
-			load: load.localCounts(),
-			configVersion: config.current?.version ?? 0,
-			wantsConfig: this.#needsConfig(sentAt),
-			wantsEndpoints: !directory.isRegistryReachable || directory.size === 0,
-		};
+		const sentAt = this.#options.now();
 		peer.isPolling = true;
-		const result = await peer.link.request(request, POLL_TIMEOUT_MS);
+		const result = await peer.link.request(this.#createRequest(sentAt, undefined), POLL_TIMEOUT_MS);
 		peer.isPolling = false;
 		this.#setReachable(address, peer, result.kind === 'ok');
 		if (result.kind === 'ok') {
@@ -141,9 +165,23 @@
 		}
 	}
 
+	#createRequest(now: Instant, probe: readonly string[] | undefined): PeerRequest {
+		const {address, config, directory, load, crashGuard} = this.#options;
+		return {
+			from: address,
+			load: load.localCounts(),
+			configVersion: config.current?.version ?? 0,
+			wantsConfig: probe === undefined && this.#needsConfig(now),
+			wantsEndpoints: probe === undefined && (!directory.isRegistryReachable || directory.size === 0),
+			suspects: crashGuard.reports(),
+			probe,
+		};
+	}
+
 	#applyResponse(address: string, response: PeerResponse, sentAt: Instant): void {
-		const {config, directory, load, events, now} = this.#options;
+		const {config, directory, load, crashGuard, events, now} = this.#options;
 		load.updatePeer(address, response.load, now().monotonicMs);
+		crashGuard.merge(response.suspects ?? []);
 		this.#addPeers(response.peers);
 		config.noteKnownVersion(response.configVersion);
 		if (response.configAgeMs !== undefined) {
@@ -168,8 +206,9 @@
 	}
 
 	async #handleRequest(request: PeerRequest): Promise<PeerResponse> {
-		const {config, directory, load, now} = this.#options;
+		const {config, directory, load, crashGuard, now} = this.#options;
 		const at = now();
+		crashGuard.merge(request.suspects ?? []);
 		if (request.from !== undefined) {
 			load.updatePeer(request.from, request.load, at.monotonicMs);
 			config.noteKnownVersion(request.configVersion);
@@ -186,6 +225,8 @@
 			left: directory.tombstones(),
 			endpoints: request.wantsEndpoints ? directory.records() : undefined,
 			isRegisterInReach: directory.isRegistryReachable,
+			suspects: crashGuard.reports(),
+			isProbeGranted: request.probe !== undefined && crashGuard.takeProbe(request.probe),
 		};
 	}
 
@@ -225,7 +266,7 @@
 	for (const address of addresses) {
 		const link = RequestClient.create(address);
 		const request: PeerRequest = {
-			from: undefined, load: {}, configVersion: 0, wantsConfig: false, wantsEndpoints: true,
+			from: undefined, load: {}, configVersion: 0, wantsConfig: false, wantsEndpoints: true, suspects: [], probe: undefined,
 		};
 		const result = await link.request(request, FETCH_TIMEOUT_MS);
 		link.close();
--- a/packages/gateway/src/refusals.ts
+++ b/packages/gateway/src/refusals.ts
@@ -15,6 +15,10 @@
 		| 'group-stopped'
 	/** All endpoints are full. */
 		| 'overload'
+	/** The request shares parts of its prompt with requests on which endpoints crashed. */
+		| 'suspect-part'
+	/** The request has a part that crashes endpoints. */
+		| 'crashing-part'
 	/** The endpoint did not run the request, and it may not be sent again. */
 		| 'not-run'
 	/** No connection to an endpoint could be established. */
@@ -30,7 +34,9 @@
 export type Refusal = {
 	readonly reason: RefusalReason;
 	readonly status: 401 | 404 | 413 | 502 | 503 | 504;
-	/** Whether the caller may retry the same request; set only if it certainly did not run. */
+	/** Whether the response promises that the request did not run. */
+	readonly isNotRun: boolean;
+	/** Whether the caller is told when to retry; set only if the request did not run and another attempt may succeed. */
 	readonly mayRetry: boolean;
 };
 
@@ -43,6 +49,8 @@
 	'no-endpoint': 503,
 	'group-stopped': 503,
 	overload: 503,
+	'suspect-part': 503,
+	'crashing-part': 503,
 	'not-run': 503,
 	unreachable: 503,
 	'timeout-before-sent': 503,
@@ -52,7 +60,10 @@
 
 export function refusalOf(reason: RefusalReason): Refusal {
 	const status = statuses[reason];
-	return {reason, status, mayRetry: status === 503};
+	const isNotRun = status === 503;
+	return {
+		reason, status, isNotRun, mayRetry: isNotRun && reason !== 'crashing-part',
+	};
 }
 
 /** Delay for a Retry-After header, in seconds: the minimum, and the range of the random part that keeps refused callers from retrying at the same time. */
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -7,6 +7,7 @@
 import {runAttempt, type AttemptResult} from './attempt.js';
 import type {CallerResponse} from './caller-response.js';
 import type {ConnectionPool} from './connection-pool.js';
+import type {CrashGuard} from './crash-guard.js';
 import type {CallerRequest, Dialect} from './dialect.js';
 import type {EntryEventLog, RequestSummary, StreamSummary} from './event-log.js';
 import type {GroupMonitor} from './group-monitor.js';
@@ -27,6 +28,7 @@
 	readonly dialect: Dialect;
 	readonly events: EntryEventLog;
 	readonly groups: GroupMonitor;
+	readonly crashGuard: CrashGuard;
 	/** Retry budget of this entry for a service. */
 	readonly budgetOf: (service: string) => RetryBudget;
 	/** Capacity of a service for streams, as this entry sees it. */
@@ -70,6 +72,8 @@
 	#lastEventId: number | undefined;
 	#lastEventAt: number | undefined;
 	#stream: StreamSummary | undefined;
+	/** Suspects that the current attempt is a probe of. */
+	#probedParts: readonly string[] = [];
 	#lastEndpoint = '';
 	#failureDetail = '';
 	readonly #context: RequestHandlerContext;
@@ -136,6 +140,13 @@
 				return this.#fail(choice.reason, choice.detail);
 			}
 
+			const isBegun = this.#stream !== undefined;
+			const partAdmission = isBegun ? {kind: 'admitted', probed: []} as const : await this.#context.crashGuard.admit(this.#partsOf(route), this.#probedParts);
+			if (partAdmission.kind === 'refused') {
+				return this.#fail(partAdmission.reason, partAdmission.detail);
+			}
+
+			this.#probedParts = partAdmission.probed;
 			const result = await this.#attempt(route, choice.endpoint);
 			const next = await this.#handleResult(route, choice.endpoint, result);
 			if (next !== 'retry') {
@@ -288,6 +299,7 @@
 
 			case 'unknown': {
 				this.#recordOutcome(endpoint.id, 'broken');
+				await this.#checkCrash(route, endpoint);
 				return this.#handleFailure(route, endpoint, {
 					outcome: 'unknown', detail: result.reason, finalReason: 'unknown-outcome', mayRetry: isRepeatable(route),
 				});
@@ -303,6 +315,19 @@
 		}
 	}
 
+	/** Parts of the prompt by which a request can crash endpoints; none for requests that are not streams, whose answers do not begin before they end. */
+	#partsOf({kind}: Route): readonly string[] {
+		return kind.kind === 'stream' ? this.#req.sharedParts : [];
+	}
+
+	/** Checks an endpoint that broke off. A stream that has begun anywhere did not crash it. */
+	async #checkCrash(route: Route, endpoint: EndpointRecord): Promise<void> {
+		if (this.#stream === undefined) {
+			await this.#context.crashGuard.checkCrash(endpoint, this.#partsOf(route), this.#probedParts);
+			this.#probedParts = [];
+		}
+	}
+
 	#handleNotSent(endpoint: EndpointRecord, reason: string): FinalResult | 'retry' {
 		this.#recordOutcome(endpoint.id, 'unreachable');
 		this.#connectFailures += 1;
@@ -377,6 +402,9 @@
 			previousEventAt: this.#stream === undefined ? undefined : this.#lastEventAt,
 			inactivityTimeoutMs: {first: this.#firstEventTimeoutMs(route), later: STREAM_INACTIVITY_TIMEOUT_MS},
 			remainingMs: this.#remainingMs(route),
+			onFirstEvent: () => {
+				this.#context.crashGuard.recordBegun(this.#partsOf(route), this.#probedParts);
+			},
 			onGap: gapMs => {
 				this.#context.capacityOf(this.#service).record(gapMs, () => this.#serviceLoad(), this.#monotonicNow());
 			},
@@ -406,6 +434,7 @@
 
 			case 'broken': {
 				this.#recordOutcome(endpoint.id, 'broken');
+				await this.#checkCrash(route, endpoint);
 				await this.#context.groups.check(this.#service);
 				return this.#handleFailure(route, endpoint, {
 					outcome: 'stream broke', detail: result.reason, finalReason: 'unknown-outcome', mayRetry: isRepeatable(route),
@@ -430,8 +459,8 @@
 			return this.#cutOffResponse(undefined, reason);
 		}
 
-		// A Retry-After promises that the request did not run, which is not known after an attempt with an unknown outcome.
-		return {kind: 'refuse', reason: this.#mayHaveRun && refusalOf(reason).mayRetry ? 'unknown-outcome' : reason, detail: this.#failureDetail === '' ? detail : this.#failureDetail};
+		// The refusal would promise that the request did not run, which is not known after an attempt with an unknown outcome.
+		return {kind: 'refuse', reason: this.#mayHaveRun && refusalOf(reason).isNotRun ? 'unknown-outcome' : reason, detail: this.#failureDetail === '' ? detail : this.#failureDetail};
 	}
 
 	#failTimedOut(): FinalResult {
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -36,11 +36,13 @@
 	readonly inactivityTimeoutMs: {readonly first: number; readonly later: number};
 	/** Time left for the whole stream, in ms. */
 	readonly remainingMs: number;
+	/** Called when the first event arrives. */
+	readonly onFirstEvent: () => void;
 	/** Called with the time between two events of this endpoint, in ms. */
 	readonly onGap: (gapMs: number) => void;
 };
 
-export async function relayStream({res, exchange, callerResponse, head, lastEventId, previousEventAt, inactivityTimeoutMs, remainingMs, onGap}: RelayInput): Promise<RelayResult> {
+export async function relayStream({res, exchange, callerResponse, head, lastEventId, previousEventAt, inactivityTimeoutMs, remainingMs, onFirstEvent, onGap}: RelayInput): Promise<RelayResult> {
 	const splitter = EventSplitter.create(lastEventId);
 	let lastEventAt = performance.now();
 	let gapStartedAt = previousEventAt;
@@ -75,7 +77,9 @@
 
 			const previousAt = lastEventAt;
 			lastEventAt = performance.now();
-			if (events > 0) {
+			if (events === 0) {
+				onFirstEvent();
+			} else {
 				onGap(lastEventAt - previousAt);
 			}
 
--- a/packages/quarantine/src/index.ts
+++ b/packages/quarantine/src/index.ts
@@ -8,6 +8,7 @@
 export {
 	suspectOwnersOf, RETENTION_MS, SuspectRegistry, type PermissionResult,
 } from './suspect-registry.js';
+export {SuspectParts, type PartReport, type PartVerdict} from './suspect-parts.js';
 export type {
 	Crash, CrashReport, Permission, PermissionRequest, Permit, RunEnd, SuspectRecord,
 } from './types.js';
