Give up a stream whose event does not end

Cause: events are buffered until they are complete, without a bound, so a stream that never ends an event grew in the entry's memory until the process was killed. Heads and plain bodies were bounded already (Node's limit, 8 MB). Change: more than 1 MB without the end of an event breaks the attempt, as any other broken stream; another endpoint goes on. Evidence: endless-bytes.test.ts fails before in its case of a stream (64 MB taken), passes now; the three others passed before. Conclusion: the memory of one attempt is bounded in all cases.

--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -5,6 +5,9 @@
 import type {Exchange} from './exchange.js';
 import {EventSplitter} from '#dispatch';
 
+/** Largest event that is buffered until it is complete, in bytes; more without the end of an event is no event stream. */
+const MAX_EVENT_BYTES = 1024 * 1024;
+
 type RelayOutcome
 	= | {readonly kind: 'complete'}
 		| {readonly kind: 'broken'; readonly reason: string}
@@ -71,6 +74,11 @@
 			clearTimeout(inactivityTimer);
 			inactivityTimer = setTimeout(onInactivity, inactivityTimeoutMs.later);
 			const {bytes, count} = splitter.push(chunk);
+			if (splitter.pendingBytes > MAX_EVENT_BYTES) {
+				finish({kind: 'broken', reason: 'event too long'});
+				return;
+			}
+
 			if (count === 0) {
 				return;
 			}
