Log when the limit of streams is suspended

Cause: found reading the diff: the suspension changed what an entry believes without a line. Change: one line with the service and the gap. No decision changes.

--- a/packages/dispatch/src/stream-capacity.ts
+++ b/packages/dispatch/src/stream-capacity.ts
@@ -52,14 +52,23 @@
 type Slice = ServiceLoad & {readonly startedAt: number; readonly gaps: number[]};
 
 export class StreamCapacity {
-	/** Creates an estimate without observations, which limits nothing. */
-	static create(): StreamCapacity {
-		return new StreamCapacity();
+	/**
+	 * Creates an estimate without observations, which limits nothing.
+	 *
+	 * @param onSuspend - Called with the gap of the slower steps, in ms, when the limit is suspended because it does not help.
+	 */
+	static create(onSuspend: (gapMs: number) => void = () => undefined): StreamCapacity {
+		return new StreamCapacity(onSuspend);
 	}
 
 	#slices: readonly Slice[] = [];
 	#estimate: Estimate = {gapMs: undefined, gapPerRequestMs: 0};
 	#suspendedUntil = Number.NEGATIVE_INFINITY;
+	readonly #onSuspend: (gapMs: number) => void;
+
+	private constructor(onSuspend: (gapMs: number) => void) {
+		this.#onSuspend = onSuspend;
+	}
 
 	/**
 	 * Records the time between two events of one stream.
@@ -79,7 +88,7 @@
 	}
 
 	/**
-	 * The limit for the streams of a route at `now` (monotonic ms).
+	 * The limit for the streams of a route at `now` (monotonic ms). Suspends it if even the lowest limit would not bring the gaps within the target.
 	 *
 	 * @param targetGapMs - The route's target for the longest gap between two events.
 	 */
@@ -94,6 +103,10 @@
 		const lowest = newest.slots * MIN_LIMIT_SHARE;
 		const limit = goalMs / gapPerRequestMs;
 		if (limit < lowest && gapMs > goalMs) {
+			if (now >= this.#suspendedUntil) {
+				this.#onSuspend(gapMs);
+			}
+
 			this.#suspendedUntil = now + SUSPENSION_MS;
 		}
 
--- a/packages/gateway/src/event-log.ts
+++ b/packages/gateway/src/event-log.ts
@@ -38,6 +38,8 @@
 		| {readonly kind: 'endpoint'; readonly id: string; readonly service: string; readonly change: string; readonly source: string}
 		/** A part of prompts that may crash endpoints. */
 		| {readonly kind: 'part'; readonly part: string; readonly change: 'suspected' | 'reported' | 'probed' | 'cleared' | 'blocked'; readonly endpoint: string | undefined}
+		/** Streams of a service are not limited for a while, since fewer would not help. */
+		| {readonly kind: 'limit-suspended'; readonly service: string; readonly gapMs: number}
 		| {readonly kind: 'dependency'; readonly dependency: string; readonly isReachable: boolean; readonly detail: string}
 		| {readonly kind: 'skipped-input'; readonly where: string; readonly detail: string}
 		| {readonly kind: 'lifecycle'; readonly step: string; readonly detail: Readonly<Record<string, unknown>>};
@@ -157,6 +159,7 @@
 				break;
 			}
 
+			case 'limit-suspended':
 			case 'endpoint':
 			case 'skipped-input':
 			case 'lifecycle':
@@ -216,6 +219,11 @@
 				return;
 			}
 
+			case 'limit-suspended': {
+				this.#logger.warn('stream limit suspended', {service: event.service, gapMs: Math.round(event.gapMs)});
+				return;
+			}
+
 			case 'part': {
 				this.#logger.warn(`part ${event.change}`, {part: event.part, endpoint: event.endpoint});
 				return;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -200,7 +200,9 @@
 	}
 
 	#capacityOf(service: string): StreamCapacity {
-		const capacity = this.#capacities.get(service) ?? StreamCapacity.create();
+		const capacity = this.#capacities.get(service) ?? StreamCapacity.create(gapMs => {
+			this.#events.record({kind: 'limit-suspended', service, gapMs});
+		});
 		this.#capacities.set(service, capacity);
 		return capacity;
 	}
