Bound what entries tell one another of suspect parts

Cause: found reading the diff: parts that were cleared long ago stayed in every exchange between entries (up to 1,000 of them, five times a second to each peer). Change: cleared parts are forgotten after 30 s, at most 200 suspects are kept, blocked ones last. Evidence: a new case of suspect-parts.test.ts.

--- a/packages/gateway/src/peer-exchange.ts
+++ b/packages/gateway/src/peer-exchange.ts
@@ -1,7 +1,8 @@
 /**
  * Exchange of state between entries: requests in flight, the configuration and the age of its confirmation, endpoints that
- * leave, and parts of prompts that may crash endpoints. The registry may respond to one entry and refuse another, so each entry polls its peers when its own data becomes stale. An
- * age is accepted only from a response, and counted from the time at which the request was sent.
+ * leave, and parts of prompts that may crash endpoints. The registry may respond to one entry and refuse another, so each entry
+ * polls its peers when its own data becomes stale. An age is accepted only from a response, and counted from the time at which the
+ * request was sent.
  */
 import type {CrashGuard} from './crash-guard.js';
 import {recordConfigChange, type EntryState} from './registry.js';
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -7,7 +7,7 @@
 import {runAttempt, type AttemptResult} from './attempt.js';
 import type {CallerResponse} from './caller-response.js';
 import type {ConnectionPool} from './connection-pool.js';
-import type {CrashGuard} from './crash-guard.js';
+import type {CrashGuard, PartAdmission} from './crash-guard.js';
 import type {CallerRequest, Dialect} from './dialect.js';
 import type {EntryEventLog, RequestSummary, StreamSummary} from './event-log.js';
 import type {GroupMonitor} from './group-monitor.js';
@@ -140,13 +140,12 @@
 				return this.#fail(choice.reason, choice.detail);
 			}
 
-			const isBegun = this.#stream !== undefined;
-			const partAdmission = isBegun ? {kind: 'admitted', probed: []} as const : await this.#context.crashGuard.admit(this.#partsOf(route), this.#probedParts);
-			if (partAdmission.kind === 'refused') {
-				return this.#fail(partAdmission.reason, partAdmission.detail);
+			const admission = await this.#admitParts(route);
+			if (admission.kind === 'refused') {
+				return this.#fail(admission.reason, admission.detail);
 			}
 
-			this.#probedParts = partAdmission.probed;
+			this.#probedParts = admission.probed;
 			const result = await this.#attempt(route, choice.endpoint);
 			const next = await this.#handleResult(route, choice.endpoint, result);
 			if (next !== 'retry') {
@@ -320,6 +319,11 @@
 		return kind.kind === 'stream' ? this.#req.sharedParts : [];
 	}
 
+	/** Admits the request by the parts of its prompt. A stream that has begun anywhere crashes no endpoint. */
+	async #admitParts(route: Route): Promise<PartAdmission> {
+		return this.#stream === undefined ? this.#context.crashGuard.admit(this.#partsOf(route), this.#probedParts) : {kind: 'admitted', probed: []};
+	}
+
 	/** Checks an endpoint that broke off. A stream that has begun anywhere did not crash it. */
 	async #checkCrash(route: Route, endpoint: EndpointRecord): Promise<void> {
 		if (this.#stream === undefined) {
--- a/packages/quarantine/__tests__/unit/suspect-parts.test.ts
+++ b/packages/quarantine/__tests__/unit/suspect-parts.test.ts
@@ -110,3 +110,21 @@
 	t.equal(suspects.takeProbe(['a'], 1010), true);
 	t.end();
 });
+
+void t.test('what entries tell one another is bounded', t => {
+	const suspects = SuspectParts.create();
+	suspects.recordCrash(['cleared'], [], 'c0', 0);
+	suspects.recordBegun(['cleared'], 100);
+	suspects.recordCrash(['blocked'], ['blocked'], 'c1', 0);
+	t.same(suspects.reports(1000).map(({part}) => part), ['cleared', 'blocked']);
+	suspects.merge([], 31_000);
+	t.same(suspects.reports(31_000).map(({part}) => part), ['blocked'], 'a part that was cleared is forgotten');
+	for (let crash = 0; crash < 500; crash += 1) {
+		suspects.recordCrash([`p${crash}`], [], `d${crash}`, 31_000);
+	}
+
+	t.equal(suspects.reports(31_000).length, 200);
+	t.equal(suspects.verdict(['blocked'], 29_999).kind, 'blocked', 'a blocked part is kept');
+	t.equal(suspects.verdict(['p499'], 31_001).kind, 'probe', 'and so is the newest suspect');
+	t.end();
+});
--- a/packages/quarantine/src/suspect-parts.ts
+++ b/packages/quarantine/src/suspect-parts.ts
@@ -44,8 +44,11 @@
 /** A suspect is forgotten after this time without a crash, in ms: longer than the longest block. */
 const RETENTION_MS = 7_200_000;
 
-/** Maximum number of suspects. */
-const MAX_SUSPECTS = 1000;
+/** A suspect that was cleared is forgotten after this time, in ms: by then all entries that can be reached know. */
+const CLEARED_RETENTION_MS = 30_000;
+
+/** Maximum number of suspects, which bounds the messages between entries. */
+const MAX_SUSPECTS = 200;
 
 /** Maximum number of parts whose last answer is remembered, to clear suspects of crashes that are reported late. */
 const MAX_REMEMBERED_PARTS = 10_000;
@@ -75,7 +78,13 @@
 			}
 		}
 
-		removeOldest(this.#begunAt, MAX_REMEMBERED_PARTS);
+		for (const part of this.#begunAt.keys()) {
+			if (this.#begunAt.size <= MAX_REMEMBERED_PARTS) {
+				break;
+			}
+
+			this.#begunAt.delete(part);
+		}
 	}
 
 	/**
@@ -153,8 +162,8 @@
 			});
 		}
 
-		for (const [part, {crashedAt}] of this.#suspects) {
-			if (now - crashedAt > RETENTION_MS) {
+		for (const [part, suspect] of this.#suspects) {
+			if (now - suspect.crashedAt > RETENTION_MS || (isCleared(suspect) && now - suspect.begunAt! > CLEARED_RETENTION_MS)) {
 				this.#suspects.delete(part);
 			}
 		}
@@ -173,7 +182,10 @@
 			probedAt: known?.probedAt,
 		};
 		this.#suspects.set(part, isCleared(merged) ? {...merged, probeCrashes: 0} : merged);
-		removeOldest(this.#suspects, MAX_SUSPECTS);
+		if (this.#suspects.size > MAX_SUSPECTS) {
+			const [oldest] = [...this.#suspects].find(([, {probeCrashes}]) => probeCrashes === 0) ?? [part];
+			this.#suspects.delete(oldest);
+		}
 	}
 }
 
@@ -189,14 +201,3 @@
 function latest(a: number | undefined, b: number | undefined): number | undefined {
 	return a === undefined || b === undefined ? (a ?? b) : Math.max(a, b);
 }
-
-/** Removes the entries that were inserted first until at most `size` remain. */
-function removeOldest(map: Map<string, unknown>, size: number): void {
-	for (const key of map.keys()) {
-		if (map.size <= size) {
-			return;
-		}
-
-		map.delete(key);
-	}
-}
