Ask for two crashed probes before a part is blocked that was answered before

Cause: found in review. A probe of a sound part may wait at the endpoint that another request crashes (1 of 12 endpoints on the small sites), and would have blocked that part for 30 s; a first part that all requests of a route share would take the whole route down. Change: a part with which answers have begun before needs two crashed probes. Conclusion: a part that turns deadly after it was answered costs three crashes in place of two.

--- a/packages/quarantine/__tests__/unit/suspect-parts.test.ts
+++ b/packages/quarantine/__tests__/unit/suspect-parts.test.ts
@@ -36,6 +36,18 @@
 			do: 'crash', parts: ['a', 'b'], probed: ['a'], at: 5,
 		}], parts: ['a'], at: 10, verdict: {kind: 'blocked', part: 'a'},
 	},
+	{
+		name: 'a part that was answered before is not blocked by one crash of a probe', steps: [{do: 'begin', parts: ['a'], at: 0}, {do: 'crash', parts: ['a'], at: 5}, {
+			do: 'crash', parts: ['a'], probed: ['a'], at: 10,
+		}], parts: ['a'], at: 20, verdict: {kind: 'probe', parts: ['a']},
+	},
+	{
+		name: 'but by two', steps: [{do: 'begin', parts: ['a'], at: 0}, {
+			do: 'crash', parts: ['a'], probed: ['a'], at: 5,
+		}, {
+			do: 'crash', parts: ['a'], probed: ['a'], at: 10,
+		}], parts: ['a'], at: 20, verdict: {kind: 'blocked', part: 'a'},
+	},
 	{
 		name: 'and only that one', steps: [{do: 'crash', parts: ['a'], at: 0}, {
 			do: 'crash', parts: ['a', 'b'], probed: ['a'], at: 5,
--- a/packages/quarantine/src/suspect-parts.ts
+++ b/packages/quarantine/src/suspect-parts.ts
@@ -1,8 +1,8 @@
 /**
  * Finds parts of prompts that crash endpoints. A part crashes each endpoint that begins to answer a request with it, so the
  * requests on which a crashed endpoint had not begun to answer make their parts suspects, and a part with which any answer
- * begins later is cleared. While a part is a suspect, only a few requests with it run, one after another, as probes; when a
- * probe crashes its endpoint too, the part is blocked. Entries merge what they have seen.
+ * begins later is cleared. While a part is a suspect, only a few requests with it run, one after another, as probes; when
+ * probes crash their endpoints too, the part is blocked. Entries merge what they have seen.
  *
  * Pure: times are arguments, in monotonic ms of this process.
  */
@@ -38,7 +38,10 @@
 /** A request with several suspects waits this long since the last crash for some of them to be cleared, in ms: a group forms again within a few seconds, and requests that share only one of them follow. */
 const SEPARATION_TIMEOUT_MS = 10_000;
 
-/** Time for which a part is blocked after the first, second and any further crash of a probe, in ms. A crash may have another cause, so blocks end. */
+/** Number of crashed probes that block a part. One with which answers have begun before needs two: the crash may be due to another request at the same endpoint. */
+const PROBE_CRASHES_TO_BLOCK = {neverBegun: 1, begunBefore: 2} as const;
+
+/** Time for which a part is blocked for the first, second and any further time, in ms. A crash may have another cause, so blocks end. */
 const BLOCK_MS = [30_000, 300_000, 3_600_000] as const;
 
 /** A suspect is forgotten after this time without a crash, in ms: longer than the longest block. */
@@ -194,8 +197,9 @@
 	return begunAt !== undefined && begunAt > crashedAt;
 }
 
-function blockedUntil({crashedAt, probeCrashes}: Suspect): number {
-	return probeCrashes === 0 ? Number.NEGATIVE_INFINITY : crashedAt + BLOCK_MS[Math.min(probeCrashes, BLOCK_MS.length) - 1]!;
+function blockedUntil({crashedAt, probeCrashes, begunAt}: Suspect): number {
+	const needed = PROBE_CRASHES_TO_BLOCK[begunAt === undefined ? 'neverBegun' : 'begunBefore'];
+	return probeCrashes < needed ? Number.NEGATIVE_INFINITY : crashedAt + BLOCK_MS[Math.min(probeCrashes - needed, BLOCK_MS.length - 1)]!;
 }
 
 function latest(a: number | undefined, b: number | undefined): number | undefined {
