Log a part as blocked only when it is

Cause: since two crashed probes may be needed, the line after the first was wrong. Change: the line follows the verdict. No decision changes.

--- a/packages/gateway/src/crash-guard.ts
+++ b/packages/gateway/src/crash-guard.ts
@@ -98,7 +98,7 @@
 		this.#crashes += 1;
 		suspects.recordCrash(parts, probed, `${entry}-${now()}-${this.#crashes}`, now());
 		this.#log(parts, 'suspected', endpoint.id);
-		this.#log(probed, 'blocked', endpoint.id);
+		this.#log(probed.filter(part => suspects.verdict([part], now()).kind === 'blocked'), 'blocked', endpoint.id);
 	}
 
 	/** What this entry knows of suspects, for other entries. */
