--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -328,6 +328,7 @@
 
 			case 'silent': {
 				this.#recordOutcome(endpoint.id, 'silent');
+				await this.#context.groups.check(this.#service);
 				return this.#handleFailure(route, endpoint, {
 					outcome: 'silent', detail: '', finalReason: 'timeout', mayRetry: isRepeatable(route),
 				});
--- a/packages/protocol/src/link-pool.ts
+++ b/packages/protocol/src/link-pool.ts
@@ -35,7 +35,10 @@
 	}
 
 	readonly #options: LinkPoolOptions;
+	/** Links to use, by peer id. */
 	readonly #links = new Map<string, PeerLink>();
+	/** All open links: two peers that dial one another at the same time have two. */
+	readonly #openLinks = new Set<PeerLink>();
 	readonly #dials = new Map<string, Promise<PeerLink>>();
 	readonly #backoffUntil = new Map<string, number>();
 	readonly #linkListeners = new Set<(link: PeerLink) => void>();
@@ -47,13 +50,13 @@
 	private constructor(options: LinkPoolOptions) {
 		this.#options = options;
 		options.signal.addEventListener('abort', () => {
-			for (const link of this.#links.values()) {
+			for (const link of this.#openLinks) {
 				link.close('process stops');
 			}
 		}, {once: true});
 	}
 
-	/** All open links. */
+	/** One open link per peer. */
 	get links(): readonly PeerLink[] {
 		return [...this.#links.values()];
 	}
@@ -94,6 +97,7 @@
 	/** Adds an authenticated link, whether dialled or accepted. */
 	add(link: PeerLink): void {
 		this.#links.set(link.peer.id, link);
+		this.#openLinks.add(link);
 		link.closed.addEventListener('abort', () => {
 			this.#remove(link);
 		}, {once: true});
@@ -213,8 +217,14 @@
 	}
 
 	#remove(link: PeerLink): void {
+		this.#openLinks.delete(link);
 		if (this.#links.get(link.peer.id) === link) {
-			this.#links.delete(link.peer.id);
+			const other = [...this.#openLinks].findLast(({peer}) => peer.id === link.peer.id);
+			if (other === undefined) {
+				this.#links.delete(link.peer.id);
+			} else {
+				this.#links.set(link.peer.id, other);
+			}
 		}
 
 		for (const listener of this.#closeListeners) {
