--- a/packages/dispatch/src/event-splitter.ts
+++ b/packages/dispatch/src/event-splitter.ts
@@ -1,25 +1,37 @@
 /**
- * Splits an event stream (`text/event-stream`) at event boundaries. Only complete events are forwarded, so that a stream that
- * breaks can be resumed at another endpoint after the last complete event.
+ * Splits an event stream (`text/event-stream`) into events and checks that they are the next ones of the stream. Only complete
+ * events are forwarded, so that a stream that breaks can be resumed at another endpoint after the last complete event.
  */
 
 import {Buffer} from 'node:buffer';
 
-/** The complete events in a chunk. */
+/** The events of a chunk that are to be forwarded. */
 export type SplitEvents = {
-	/** Bytes of the complete events, each with the blank line that terminates it. */
+	/** Bytes of complete events and comments, each with the blank line that terminates it. */
 	readonly bytes: Uint8Array;
-	/** Number of events in `bytes`. */
+	/** Number of events in `bytes`, without comments. */
 	readonly count: number;
+	/** Why what follows `bytes` is not the continuation of the stream; undefined if it may be. */
+	readonly fault: string | undefined;
 };
 
+/** What a block of lines in a stream is. */
+type Block
+	= | {readonly kind: 'event'; readonly id: number | undefined}
+		/** A comment, or blank lines. */
+		| {readonly kind: 'comment'}
+		| {readonly kind: 'malformed'};
+
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
-const ID_FIELD = /^id: ?(\d+)\r?$/mu;
+const ID_FIELD = /^id: ?(\d+)$/u;
+
+/** A field with a value, or one of those that may stand without a colon. A status line of HTTP is neither. */
+const FIELD_LINE = /^(?:[\w-]+:|(?:data|event|id|retry)$)/u;
 
 export class EventSplitter {
 	/**
-	 * @param lastId - Events up to this id are dropped: a resumed stream must not repeat events that the caller has.
+	 * @param lastId - Id of the last event that the caller has; events up to it are dropped, and the next one must follow it.
 	 */
 	static create(lastId?: number): EventSplitter {
 		return new EventSplitter(lastId);
@@ -27,7 +39,10 @@
 
 	/** Id of the last event that was forwarded. */
 	lastId: number | undefined;
+	/** Id of the last event of this source, forwarded or dropped. */
+	#lastSourceId: number | undefined;
 	#pending: Uint8Array = new Uint8Array(0);
+	#fault: string | undefined;
 
 	private constructor(lastId: number | undefined) {
 		this.lastId = lastId;
@@ -38,29 +53,59 @@
 		return this.#pending.length;
 	}
 
-	/** Processes the next bytes of the stream. */
+	/** Processes the next bytes of the stream. Nothing is forwarded after a fault. */
 	push(chunk: Uint8Array): SplitEvents {
 		let data = this.#pending.length === 0 ? Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength) : Buffer.concat([this.#pending, chunk]);
-		const newEvents: Uint8Array[] = [];
-		for (let end = findEventEnd(data); end !== -1; end = findEventEnd(data)) {
-			const event = data.subarray(0, end);
+		const forwarded: Uint8Array[] = [];
+		let count = 0;
+		for (let end = findEventEnd(data); end !== -1 && this.#fault === undefined; end = findEventEnd(data)) {
+			const bytes = data.subarray(0, end);
 			data = data.subarray(end);
-			if (this.#isNew(event)) {
-				newEvents.push(event);
+			const block = parseBlock(bytes);
+			if (this.#accept(block)) {
+				forwarded.push(bytes);
+				count += block.kind === 'event' ? 1 : 0;
 			}
 		}
 
 		this.#pending = data;
-		return {bytes: newEvents.length === 1 ? newEvents[0]! : Buffer.concat(newEvents), count: newEvents.length};
+		return {bytes: forwarded.length === 1 ? forwarded[0]! : Buffer.concat(forwarded), count, fault: this.#fault};
+	}
+
+	/** Checks the next block against what came before. Returns whether it is forwarded. */
+	#accept(block: Block): boolean {
+		switch (block.kind) {
+			case 'comment': {
+				return true;
+			}
+
+			case 'malformed': {
+				this.#fault = 'text that is no event';
+				return false;
+			}
+
+			case 'event': {
+				return this.#acceptEvent(block.id);
+			}
+		}
 	}
 
-	#isNew(event: Uint8Array): boolean {
-		const digits = ID_FIELD.exec(Buffer.from(event).toString('latin1'))?.[1];
-		if (digits === undefined) {
-			return true;
+	#acceptEvent(id: number | undefined): boolean {
+		if (id === undefined) {
+			// Streams without ids cannot be resumed, but a stream does not mix events with and without one.
+			this.#fault = this.lastId === undefined ? undefined : 'an event without an id';
+			return this.#fault === undefined;
 		}
 
-		const id = Number(digits);
+		// The first event of a resumed stream may be one that the caller has.
+		const expected = (this.#lastSourceId ?? this.lastId ?? id - 1) + 1;
+		const isRepeated = this.#lastSourceId === undefined && id < expected;
+		if (id !== expected && !isRepeated) {
+			this.#fault = `event ${id} in place of ${expected}`;
+			return false;
+		}
+
+		this.#lastSourceId = id;
 		if (this.lastId !== undefined && id <= this.lastId) {
 			return false;
 		}
@@ -70,6 +115,20 @@
 	}
 }
 
+function parseBlock(bytes: Uint8Array): Block {
+	const lines = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength).toString('latin1').split(/\r?\n/u).filter(line => line !== '' && !line.startsWith(':'));
+	if (lines.length === 0) {
+		return {kind: 'comment'};
+	}
+
+	if (!lines.every(line => FIELD_LINE.test(line))) {
+		return {kind: 'malformed'};
+	}
+
+	const digits = lines.map(line => ID_FIELD.exec(line)?.[1]).find(match => match !== undefined);
+	return {kind: 'event', id: digits === undefined ? undefined : Number(digits)};
+}
+
 /** Offset after the first blank line, or -1. */
 function findEventEnd(data: Uint8Array): number {
 	for (let at = data.indexOf(LINE_FEED); at !== -1; at = data.indexOf(LINE_FEED, at + 1)) {
@@ -84,4 +143,3 @@
 
 	return -1;
 }
-
--- a/packages/dispatch/src/fleet-config.ts
+++ b/packages/dispatch/src/fleet-config.ts
@@ -32,6 +32,21 @@
 	readonly isPublic: boolean;
 };
 
+/** Callers stay connected to a stream for at least this time without an event, in ms. */
+const MIN_STREAM_PATIENCE_MS = 2000;
+
+/** Multiple of a route's target for the first byte for which callers stay connected without an event. */
+const PATIENCE_TARGETS = 4;
+
+/** The same for the target of the longest pause. */
+const PATIENCE_GAPS = 8;
+
+/** Time without an event after which callers disconnect from a stream of a route, also before its first event, in ms. */
+export function streamPatienceMs({targetMs, kind}: Route): number {
+	const targetGapMs = kind.kind === 'stream' ? (kind.targetGapMs ?? 0) : 0;
+	return Math.max(MIN_STREAM_PATIENCE_MS, targetMs * PATIENCE_TARGETS, targetGapMs * PATIENCE_GAPS);
+}
+
 export type Workspace = {
 	readonly name: string;
 	/** Overrides the priority of the route if set. */
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,7 +1,7 @@
 /** Public index: the decisions of an entry that connects directly to endpoints. No sockets or timers; clocks are read only by readInstant(). */
 export {elapsedMs, readInstant, type Instant} from './instant.js';
 export {
-	FleetConfig, pickService, type CallerLimits, type FleetConfigData, type Route, type RouteKind, type ServiceConfig, type ServiceExperts, type ServiceShare, type Workspace,
+	FleetConfig, pickService, streamPatienceMs, type CallerLimits, type FleetConfigData, type Route, type RouteKind, type ServiceConfig, type ServiceExperts, type ServiceShare, type Workspace,
 } from './fleet-config.js';
 export {ConfigCache, type ConfigUpdateResult} from './config-cache.js';
 export {
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -66,10 +66,13 @@
 		headers: dialect.headersToEndpoint(req, forwarding),
 		body: input.body,
 	});
-	return awaitResponse(input, exchange, dialect);
+	return awaitResponse({...input, isReusedConnection: opened.isReused}, exchange, dialect);
 }
 
-async function awaitResponse(input: AttemptInput, exchange: Exchange, dialect: Dialect): Promise<AttemptResult> {
+/** An attempt whose request was sent. */
+type SentAttempt = AttemptInput & {readonly isReusedConnection: boolean};
+
+async function awaitResponse(input: SentAttempt, exchange: Exchange, dialect: Dialect): Promise<AttemptResult> {
 	const {callerDisconnected} = input;
 	return new Promise(resolve => {
 		const finish = (result: AttemptResult) => {
@@ -92,7 +95,7 @@
 	});
 }
 
-async function readResponse({req, isStream, onResponse}: AttemptInput, exchange: Exchange, dialect: Dialect): Promise<AttemptResult> {
+async function readResponse({req, isStream, isReusedConnection, onResponse}: SentAttempt, exchange: Exchange, dialect: Dialect): Promise<AttemptResult> {
 	const head = await exchange.head;
 	if (head.kind === 'broken') {
 		return {kind: 'unknown', reason: head.reason};
@@ -101,7 +104,7 @@
 	const {res} = head;
 	const status = res.statusCode ?? 0;
 	const response = dialect.readResponse(status, res.headers);
-	if (!isResponseTo(req, response)) {
+	if (!isResponseTo(req, response, isReusedConnection)) {
 		exchange.abort();
 		return {kind: 'unknown', reason: 'response to another request'};
 	}
@@ -128,9 +131,12 @@
 	};
 }
 
-/** A response without a request id can be trusted to belong to this request only if the endpoint states that it did not run it. */
-function isResponseTo(req: CallerRequest, response: ResponseHead): boolean {
-	return response.requestId === undefined ? response.isNotRun : response.requestId === req.id;
+/**
+ * Whether a response belongs to a request. One without a request id is accepted only if the endpoint states that it did not run the
+ * request, and only on a new connection: on a kept one it may be an earlier refusal once more.
+ */
+function isResponseTo(req: CallerRequest, response: ResponseHead, isReusedConnection: boolean): boolean {
+	return response.requestId === undefined ? response.isNotRun && !isReusedConnection : response.requestId === req.id;
 }
 
 /** Whether only the end of the connection delimits the body of this response. */
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -13,10 +13,10 @@
 import type {GroupMonitor} from './group-monitor.js';
 import type {LimitGuard} from './limit-guard.js';
 import {refusalOf, retryAfterSeconds, type RefusalReason} from './refusals.js';
-import {relayStream, type RelayResult} from './stream-relay.js';
+import {relayStream, type RelayInput, type RelayResult} from './stream-relay.js';
 import type {RetryBudget} from '#coordination';
 import {
-	chooseEndpoint, effectivePriority, isLate, LATE_SLOT_SHARE, maxInFlightFor, queueLimitFor, type AttemptOutcome, type EndpointDirectory, type EndpointHealth, type EndpointRecord, type Instant, type LoadTracker,
+	chooseEndpoint, effectivePriority, isLate, LATE_SLOT_SHARE, maxInFlightFor, queueLimitFor, streamPatienceMs, type AttemptOutcome, type EndpointDirectory, type EndpointHealth, type EndpointRecord, type Instant, type LoadTracker,
 	type PriorityInput, type Route, type ServiceLoad, type StreamCapacity, type Workspace,
 } from '#dispatch';
 import {fingerprintOfCall, type CrashCause} from '#quarantine';
@@ -50,11 +50,11 @@
 /** Share of the remaining time that the first attempt of an idempotent request may take; the rest is for the second. */
 const FIRST_ATTEMPT_TIME_SHARE = 0.5;
 
-/** A stream without its first event after this time is sent to another endpoint, in ms: callers disconnect after 2 s without one, and a stalled group responds after 1.5 s. */
-const STREAM_INACTIVITY_TIMEOUT_MS = 1700;
+/** A silent stream is sent to another endpoint this long before its caller would disconnect, in ms; a stopped group responds sooner. */
+const STREAM_RETRY_MARGIN_MS = 300;
 
-/** Longest wait for a stopped group, in ms since the request arrived or its last event was forwarded: callers disconnect 2 s after that. */
-const MAX_GROUP_WAIT_MS = 1700;
+/** A stream for which no other endpoint remains is given up this long after its caller should have disconnected, in ms. */
+const STREAM_GIVE_UP_MARGIN_MS = 500;
 
 /** Maximum number of denied permits per attempt: each one costs a round trip to another entry, so endpoints without a limit are chosen then. */
 const MAX_DENIED_PERMITS = 3;
@@ -148,7 +148,7 @@
 				return this.#failTimedOut();
 			}
 
-			if (!await this.#awaitRunningGroup()) {
+			if (!await this.#awaitRunningGroup(route)) {
 				return this.#fail('group-stopped');
 			}
 
@@ -172,7 +172,7 @@
 	}
 
 	/** Waits for a stopped group, but no longer than the caller would. Returns whether it runs. */
-	async #awaitRunningGroup(): Promise<boolean> {
+	async #awaitRunningGroup(route: Route): Promise<boolean> {
 		const {groups, load} = this.#context;
 		if (!groups.isStopped(this.#service)) {
 			return true;
@@ -181,7 +181,7 @@
 		const now = this.#monotonicNow();
 		const {slots} = this.#serviceLoad();
 		return groups.waitUntilRunning(this.#service, {
-			timeoutMs: MAX_GROUP_WAIT_MS - this.#sinceProgressMs(), queueLimit: queueLimitFor(slots, load.entryCount(now)), signal: this.#callerResponse.disconnected,
+			timeoutMs: this.#retryTimeoutMs(route) - this.#sinceProgressMs(), queueLimit: queueLimitFor(slots, load.entryCount(now)), signal: this.#callerResponse.disconnected,
 		});
 	}
 
@@ -300,12 +300,23 @@
 			return remaining;
 		}
 
-		return route.kind.kind === 'stream' ? Math.min(remaining, STREAM_INACTIVITY_TIMEOUT_MS) : remaining * FIRST_ATTEMPT_TIME_SHARE;
+		return route.kind.kind === 'stream' ? Math.min(remaining, this.#retryTimeoutMs(route)) : remaining * FIRST_ATTEMPT_TIME_SHARE;
 	}
 
-	/** Timeout of the first event after the head of a response, in ms: if another attempt remains, it must begin before the caller disconnects. */
-	#firstEventTimeoutMs(route: Route): number {
-		return this.#attempts < route.maxAttempts ? Math.max(0, STREAM_INACTIVITY_TIMEOUT_MS - this.#sinceProgressMs()) : STREAM_INACTIVITY_TIMEOUT_MS;
+	/** Time without an event after which another attempt must begin to reach the caller before it disconnects, in ms. */
+	#retryTimeoutMs(route: Route): number {
+		return streamPatienceMs(route) - STREAM_RETRY_MARGIN_MS;
+	}
+
+	/** Times without an event after which the current attempt is given up, in ms; a slow stream goes on while no other attempt remains. */
+	#inactivityTimeoutMs(route: Route): RelayInput['inactivityTimeoutMs'] {
+		if (!isRepeatable(route) || this.#attempts >= route.maxAttempts) {
+			const timeoutMs = streamPatienceMs(route) + STREAM_GIVE_UP_MARGIN_MS;
+			return {first: timeoutMs, later: timeoutMs};
+		}
+
+		const later = this.#retryTimeoutMs(route);
+		return {first: Math.max(0, later - this.#sinceProgressMs()), later};
 	}
 
 	async #handleResult(route: Route, endpoint: EndpointRecord, result: AttemptResult): Promise<FinalResult | 'retry'> {
@@ -441,7 +452,7 @@
 			head: isFirst ? this.#context.dialect.headersToCaller(res.rawHeaders) : undefined,
 			lastEventId: this.#lastEventId,
 			previousEventAt: this.#stream === undefined ? undefined : this.#lastEventAt,
-			inactivityTimeoutMs: {first: this.#firstEventTimeoutMs(route), later: STREAM_INACTIVITY_TIMEOUT_MS},
+			inactivityTimeoutMs: this.#inactivityTimeoutMs(route),
 			remainingMs: this.#remainingMs(route),
 			onFirstEvent: () => {
 				this.#context.crashGuard.recordBegun(this.#crashCauses, this.#probedCauses);
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -35,7 +35,7 @@
 	readonly lastEventId: number | undefined;
 	/** When an earlier endpoint's last event was forwarded, in monotonic ms; undefined if the caller has no event yet. */
 	readonly previousEventAt: number | undefined;
-	/** Time without a byte after which a stream counts as broken, in ms: before its first byte, and between later ones. */
+	/** Time without a complete event after which a stream counts as broken, in ms: before its first event, and between later ones. */
 	readonly inactivityTimeoutMs: {readonly first: number; readonly later: number};
 	/** Time left for the whole stream, in ms. */
 	readonly remainingMs: number;
@@ -52,8 +52,10 @@
 	let events = 0;
 	let longestGapMs = 0;
 	let isHeadSent = head === undefined;
+	let isFinished = false;
 	return new Promise(resolve => {
 		const finish = (outcome: RelayOutcome) => {
+			isFinished = true;
 			clearTimeout(deadlineTimer);
 			clearTimeout(inactivityTimer);
 			callerResponse.disconnected.removeEventListener('abort', onDisconnect);
@@ -71,18 +73,38 @@
 		};
 
 		const onData = (chunk: Uint8Array) => {
-			clearTimeout(inactivityTimer);
-			inactivityTimer = setTimeout(onInactivity, inactivityTimeoutMs.later);
-			const {bytes, count} = splitter.push(chunk);
-			if (splitter.pendingBytes > MAX_EVENT_BYTES) {
-				finish({kind: 'broken', reason: 'event too long'});
-				return;
+			const {bytes, count, fault} = splitter.push(chunk);
+			if (count > 0) {
+				recordEvents(count);
+				sendHead();
 			}
 
-			if (count === 0) {
+			// The head is sent with the first event, so that another endpoint's may be sent until then; earlier comments are dropped.
+			const isWritable = bytes.length === 0 || !isHeadSent || callerResponse.write(bytes);
+			if (fault !== undefined || splitter.pendingBytes > MAX_EVENT_BYTES) {
+				finish({kind: 'broken', reason: fault ?? 'event too long'});
 				return;
 			}
 
+			if (!isWritable) {
+				void pauseUntilDrained();
+			}
+		};
+
+		/** Stops reading while the caller reads too slowly; the source is not to blame for that time. */
+		const pauseUntilDrained = async () => {
+			res.pause();
+			clearTimeout(inactivityTimer);
+			await callerResponse.drained();
+			if (!isFinished) {
+				inactivityTimer = setTimeout(onInactivity, inactivityTimeoutMs.later);
+				res.resume();
+			}
+		};
+
+		const recordEvents = (count: number) => {
+			clearTimeout(inactivityTimer);
+			inactivityTimer = setTimeout(onInactivity, inactivityTimeoutMs.later);
 			const previousAt = lastEventAt;
 			lastEventAt = performance.now();
 			if (events === 0) {
@@ -94,11 +116,6 @@
 			longestGapMs = Math.max(longestGapMs, lastEventAt - (gapStartedAt ?? lastEventAt));
 			gapStartedAt = lastEventAt;
 			events += count;
-			sendHead();
-			if (!callerResponse.write(bytes)) {
-				res.pause();
-				void callerResponse.drained().then(() => res.resume());
-			}
 		};
 
 		const onEnd = () => {
