--- a/packages/rankagent/src/agent.ts
+++ b/packages/rankagent/src/agent.ts
@@ -2,6 +2,7 @@
 import {CountsEncoder} from './counts-delta.js';
 import {Coordinator, type GroupMember} from './coordinator.js';
 import type {AgentRequest, RankEngine} from './engine.js';
+import {MapDecoder} from './map-delta.js';
 import {createRemoteEngine} from './remote-engine.js';
 import {ok, sleep} from '#core';
 import {RequestClient, RequestServer} from '#links';
@@ -47,6 +48,9 @@
 /** Additional delay per rank, in ms, so that usually only one agent takes over. */
 const TAKEOVER_DELAY_PER_RANK_MS = 250;
 
+/** Ranks beyond this one wait no longer than it: a held group waits for them, and taking over twice is safe. */
+const MAX_DELAYED_RANK = 8;
+
 /** Maximum time that a stopping agent spends on completing a switch, in ms. */
 const STOP_TIMEOUT_MS = 5000;
 
@@ -63,6 +67,7 @@
 	readonly #stop = new AbortController();
 	readonly #remoteEngines = new Map<string, RankEngine>();
 	readonly #countsEncoder = CountsEncoder.create();
+	readonly #mapDecoder = MapDecoder.create();
 	readonly #coordinator: Coordinator;
 	#members: readonly GroupMember[] = [];
 	#experts: GroupListing['experts'];
@@ -126,7 +131,7 @@
 			return POLL_INTERVAL_MS;
 		}
 
-		if (performance.now() - this.#switchPendingSince < TAKEOVER_DELAY_MS + ((state.rank - 1) * TAKEOVER_DELAY_PER_RANK_MS)) {
+		if (performance.now() - this.#switchPendingSince < TAKEOVER_DELAY_MS + ((Math.min(state.rank, MAX_DELAYED_RANK) - 1) * TAKEOVER_DELAY_PER_RANK_MS)) {
 			return POLL_INTERVAL_MS;
 		}
 
@@ -208,8 +213,23 @@
 			}
 
 			case 'order': {
+				const {action} = request.order;
+				if (action.kind === 'prepare') {
+					this.#mapDecoder.record(action.version, action.map);
+				}
+
 				return ok(await localEngine.order(request.order));
 			}
+
+			case 'prepare-delta': {
+				const {rank, epoch, sequence, version, delta} = request;
+				const map = this.#mapDecoder.decode(version, delta);
+				return ok(map === undefined
+					? 'base-unknown'
+					: await localEngine.order({
+						rank, epoch, sequence, action: {kind: 'prepare', version, map},
+					}));
+			}
 		}
 	}
 
--- a/packages/rankagent/src/coordinator.ts
+++ b/packages/rankagent/src/coordinator.ts
@@ -35,7 +35,9 @@
 /** Delay until the next call of `reconcile`, in ms. */
 const RECONCILE_DELAY_MS = {
 	/** Between two plans: long enough to measure demand, short compared with its shifts of a few seconds. */
-	settled: 300,
+	settled: 200,
+	/** After a shift of demand, until counts show only what follows it. */
+	measuring: 120,
 	/** While experts are copied, which takes tens of ms each. */
 	preparing: 40,
 	/** A few steps of the group. */
@@ -52,18 +54,27 @@
 /** Minimum tokens in the window for a plan; fewer are not representative of demand. */
 const MIN_TOKENS = 20_000;
 
-/** Minimum share of the ranks whose counts are needed for a plan: requests are spread evenly, so half of the ranks represent the demand. */
+/** Maximum number of ranks whose counts are read: requests are spread evenly, so some ranks represent the demand, and the counts of all occupy the link of rank 0 for seconds in large groups. */
+const MAX_COUNTED_RANKS = 8;
+
+/** Minimum share of the read ranks whose counts are needed for a plan. */
 const MIN_RESPONSE_SHARE = 0.5;
 
 /** Minimum gain of one round of copies (one per rank), as a share of the mean rank load; smaller gains do not pay off before demand shifts again. */
 const MIN_GAIN_PER_ROUND = 0.72;
 
+/** Maximum number of experts that one change copies to a rank: ranks copy in parallel, in tens of ms an expert, and demand shifts within seconds. */
+const MAX_COPIES_PER_RANK = 6;
+
 /** Minimum reduction of the skew that justifies the orders of a change and the wait of the group. */
 const MIN_GAIN = 0.15;
 
 /** The same while orders are unreliable, when each rank may delay the group: justified only by a large shift of demand. */
 const MIN_GAIN_UNRELIABLE = 0.8;
 
+/** Time for which a member that was seen in another group is not read again, in ms, while the own group is complete. */
+const OTHER_GROUP_MS = 5000;
+
 /** A plan that is not in use after this time is abandoned, in ms, unless its switch has begun. */
 const PLAN_LIFETIME_MS = 4000;
 
@@ -76,6 +87,8 @@
 	/** Cached content of the map in use, valid for one epoch and version. */
 	#map: {readonly epoch: number; readonly version: number; readonly map: GroupMap} | undefined;
 	#window: LoadWindow | undefined;
+	/** When members of other groups of the service were last seen there, in monotonic ms, by their agents. */
+	readonly #seenInOtherGroup = new WeakMap<RankEngine, number>();
 	readonly #orderMonitor = OrderMonitor.create();
 	readonly #paceLog: PaceLog;
 	#lastPhase = '';
@@ -136,7 +149,7 @@
 					await this.#makePlan(states, ownState);
 				}
 
-				return this.#plan === undefined ? RECONCILE_DELAY_MS.settled : RECONCILE_DELAY_MS.urgent;
+				return RECONCILE_DELAY_MS[this.#plan === undefined ? (this.#window?.isShifting ? 'measuring' : 'settled') : 'urgent'];
 			}
 		}
 	}
@@ -165,9 +178,14 @@
 
 	/** Reads the states of the other ranks in the group of rank 0. */
 	async #readOthers(rankZeroState: RankState, members: readonly GroupMember[]): Promise<readonly ReachableRank[]> {
-		const others = await Promise.all(members.map(async ({viaAgent, direct}): Promise<ReachableRank | undefined> => {
+		const candidates = this.isGroupIncomplete ? members : members.filter(({viaAgent}) => performance.now() - (this.#seenInOtherGroup.get(viaAgent) ?? Number.NEGATIVE_INFINITY) > OTHER_GROUP_MS);
+		const others = await Promise.all(candidates.map(async ({viaAgent, direct}): Promise<ReachableRank | undefined> => {
 			const state = await viaAgent.state();
 			if (state.kind === 'ok') {
+				if (state.value.group !== rankZeroState.group) {
+					this.#seenInOtherGroup.set(viaAgent, performance.now());
+				}
+
 				return {state: state.value, engine: viaAgent};
 			}
 
@@ -216,12 +234,16 @@
 
 		this.#window ??= LoadWindow.create(shape.sets, shape.experts, WINDOW_DECAY_FACTOR);
 		this.#window.add(counts);
+		if (this.#window.isShifting) {
+			return 'demand shifts';
+		}
+
 		if (this.#window.total() < MIN_TOKENS) {
 			return 'too few tokens were counted';
 		}
 
 		const paces = states.toSorted((a, b) => a.state.rank - b.state.rank).map(({state}) => state.pace);
-		const proposal = planMap(map, this.#window.load(), shape, {minGainPerRound: MIN_GAIN_PER_ROUND, paces});
+		const proposal = planMap(map, this.#window.load(), shape, {minGainPerRound: MIN_GAIN_PER_ROUND, maxCopiesPerRank: MAX_COPIES_PER_RANK, paces});
 		const gain = proposal.skewBefore - proposal.skewAfter;
 		if (gain < this.#minGain()) {
 			return this.#minGain() === MIN_GAIN ? 'no change gains enough' : 'no change gains enough while orders get no response';
@@ -245,10 +267,11 @@
 	}
 
 	async #readCounts(states: readonly ReachableRank[]): Promise<readonly RankCounts[] | undefined> {
-		const all = await Promise.all(states.map(async ({state, engine}) => withRank(await engine.counts(), state.rank)));
+		const sampled = evenSample(states.toSorted((a, b) => a.state.rank - b.state.rank), MAX_COUNTED_RANKS);
+		const all = await Promise.all(sampled.map(async ({state, engine}) => withRank(await engine.counts(), state.rank)));
 		const received = all.filter(counts => counts !== undefined);
 		// Counters are cumulative: the next response of the other ranks includes what they counted meanwhile.
-		return received.length < states.length * MIN_RESPONSE_SHARE ? undefined : received;
+		return received.length < sampled.length * MIN_RESPONSE_SHARE ? undefined : received;
 	}
 
 	/** The map in use: cached, else assembled from what the ranks hold. */
@@ -331,6 +354,12 @@
 /** State of a rank and the path to its engine that gave it. */
 type ReachableRank = {readonly state: RankState; readonly engine: RankEngine};
 
+/** Up to `count` items at even distances; always the same ones of the same items. */
+function evenSample<Item>(items: readonly Item[], count: number): readonly Item[] {
+	const step = Math.max(1, items.length / count);
+	return Array.from({length: Math.min(count, items.length)}, (_, index) => items[Math.floor(index * step)]!);
+}
+
 function withRank(counts: Result<CountsReading, string>, rank: number): RankCounts | undefined {
 	return counts.kind === 'ok' ? {...counts.value, rank} : undefined;
 }
--- a/packages/rankagent/src/engine.ts
+++ b/packages/rankagent/src/engine.ts
@@ -1,5 +1,6 @@
 /** Interface to the engine of one rank, used by agents and coordinators. An adapter implements it. */
 import type {CountsReading} from './counts-delta.js';
+import type {MapDelta} from './map-delta.js';
 import type {Result} from '#core';
 import type {RankExperts, RankOrder, RankState} from '#rankmap';
 
@@ -23,4 +24,9 @@
 		/** `since` is the number of the last response that the requester decoded. */
 		| {readonly kind: 'counts'; readonly since: number | undefined}
 		| {readonly kind: 'holdings'}
-		| {readonly kind: 'order'; readonly order: RankOrder};
+		| {readonly kind: 'order'; readonly order: RankOrder}
+		/** A prepare order whose map is sent as differences. Agents of earlier versions do not know it. */
+		| {readonly kind: 'prepare-delta'; readonly rank: number; readonly epoch: number; readonly sequence: number; readonly version: number; readonly delta: MapDelta};
+
+/** Response to a prepare order whose map is sent as differences. */
+export type PrepareDeltaResponse = OrderResult | 'base-unknown';
--- a/packages/rankagent/src/index.ts
+++ b/packages/rankagent/src/index.ts
@@ -4,8 +4,9 @@
 } from './agent.js';
 export {Coordinator, type CoordinatorOptions, type GroupMember} from './coordinator.js';
 export type {
-	AgentRequest, OrderResult, RankEngine, RankHoldings,
+	AgentRequest, OrderResult, PrepareDeltaResponse, RankEngine, RankHoldings,
 } from './engine.js';
+export {MapDecoder, MapEncoder, type MapDelta} from './map-delta.js';
 export {PaceLog, type GroupView} from './pace-log.js';
 export {createRemoteEngine} from './remote-engine.js';
 export {AgentGroupProbe} from './group-probe.js';
--- a/packages/rankmap/__tests__/unit/set-planner.test.ts
+++ b/packages/rankmap/__tests__/unit/set-planner.test.ts
@@ -81,6 +81,39 @@
 	t.end();
 });
 
+void t.test('demand before a shift is forgotten, and readings that mix both are told', t => {
+	const experts = 10;
+	const window = LoadWindow.create(1, experts, 0.5);
+	let counts = Array.from({length: experts}, () => 0);
+	const add = (tokensOf: (expert: number) => number) => {
+		counts = counts.map((value, expert) => value + tokensOf(expert));
+		window.add([{rank: 0, epoch: 1, counts}]);
+	};
+
+	const before = (expert: number) => expert === 0 ? 50_000 : 1000;
+	const after = (expert: number) => expert === 5 ? 50_000 : 1000;
+	add(() => 0);
+	add(before);
+	add(before);
+	t.notOk(window.isShifting);
+	t.same(window.load()[0]![0], 75_000, 'without a shift, earlier readings still count');
+	add(expert => (before(expert) + after(expert)) / 2);
+	t.ok(window.isShifting, 'the reading spans the shift');
+	add(after);
+	t.notOk(window.isShifting);
+	t.same(window.load()[0], Array.from({length: experts}, (_, expert) => after(expert)));
+	t.end();
+});
+
+void t.test('few tokens do not show a shift', t => {
+	const window = LoadWindow.create(1, 2, 0.5);
+	window.add([{rank: 0, epoch: 1, counts: [0, 0]}]);
+	window.add([{rank: 0, epoch: 1, counts: [10_000, 0]}]);
+	window.add([{rank: 0, epoch: 1, counts: [10_000, 10]}]);
+	t.notOk(window.isShifting);
+	t.end();
+});
+
 await t.test('a slow rank gets less load', async t => {
 	const load = demand(0);
 	const paces = Array.from({length: shape.ranks}, (_, rank) => rank === 5 ? 6 : 1);
--- a/packages/rankmap/src/set-planner.ts
+++ b/packages/rankmap/src/set-planner.ts
@@ -27,6 +27,8 @@
 	 * almost as loaded as the slowest.
 	 */
 	readonly minGainPerRound: number;
+	/** Maximum number of copies to one rank over all layer sets: ranks copy in parallel, and a change waits for the one with the most. Defaults to no limit. */
+	readonly maxCopiesPerRank?: number;
 };
 
 /** Tolerance of comparisons, as a share of the mean load. */
@@ -56,13 +58,17 @@
 
 /** Plans a map within the limits of one change. The map is unchanged if no copy gains enough. */
 export function planMap(map: GroupMap, load: ExpertLoad, shape: ExpertShape, options: PlannerOptions): MapProposal {
-	let copies = 0;
+	const copiesByRank = Array.from({length: shape.ranks}, () => 0);
 	const next = map.map((placement, set) => {
-		const search = LayerSetSearch.create(placement, load[set] ?? [], shape, options);
+		const search = LayerSetSearch.create(placement, load[set] ?? [], shape, {...options, copiesByRank});
 		search.run();
-		copies += search.copies;
+		for (const [rank, count] of search.copiesByRank().entries()) {
+			copiesByRank[rank]! += count;
+		}
+
 		return search.placement();
 	});
+	const copies = copiesByRank.reduce((sum, count) => sum + count, 0);
 	return {
 		map: next, copies, skewBefore: skewOfMap(map, load, options.paces), skewAfter: skewOfMap(next, load, options.paces),
 	};
@@ -71,13 +77,15 @@
 /** One change of a layer set: adds an expert to a rank, drops one from it, or both. */
 type Move = {readonly rank: number; readonly add: number | undefined; readonly drop: number | undefined};
 
+/** Options of the search for one layer set, with the copies that the sets before it need. */
+type SearchOptions = PlannerOptions & {readonly copiesByRank: readonly number[]};
+
 /** Greedy search for a better placement of one layer set. */
 class LayerSetSearch {
-	static create(placement: ReadonlyArray<readonly number[]>, load: readonly number[], shape: ExpertShape, options: PlannerOptions): LayerSetSearch {
+	static create(placement: ReadonlyArray<readonly number[]>, load: readonly number[], shape: ExpertShape, options: SearchOptions): LayerSetSearch {
 		return new LayerSetSearch(placement, load, shape, options);
 	}
 
-	copies = 0;
 	readonly #expertsByRank: Array<Set<number>>;
 	readonly #original: ReadonlyArray<ReadonlySet<number>>;
 	readonly #copyCounts: number[];
@@ -85,9 +93,9 @@
 	readonly #mean: number;
 	readonly #load: readonly number[];
 	readonly #shape: ExpertShape;
-	readonly #options: PlannerOptions;
+	readonly #options: SearchOptions;
 
-	private constructor(placement: ReadonlyArray<readonly number[]>, load: readonly number[], shape: ExpertShape, options: PlannerOptions) {
+	private constructor(placement: ReadonlyArray<readonly number[]>, load: readonly number[], shape: ExpertShape, options: SearchOptions) {
 		this.#load = load;
 		this.#shape = shape;
 		this.#options = options;
@@ -102,6 +110,11 @@
 		return this.#expertsByRank.map(experts => [...experts].toSorted((a, b) => a - b));
 	}
 
+	/** Number of experts that are new to each rank. */
+	copiesByRank(): readonly number[] {
+		return this.#expertsByRank.map((_, rank) => this.#countNew(rank));
+	}
+
 	/** Applies the best move repeatedly until no move gains enough. */
 	run(): void {
 		if (this.#mean <= 0) {
@@ -116,7 +129,6 @@
 			}
 
 			this.#apply(best);
-			this.copies += best.add === undefined ? 0 : 1;
 		}
 	}
 
@@ -124,7 +136,7 @@
 		const times = this.#loads.map((value, rank) => value * this.#paceOf(rank));
 		const slowest = indexOfMax(times);
 		const before = this.#penalty();
-		const targets = range(this.#loads.length).toSorted((a, b) => times[a]! - times[b]!).slice(0, MAX_TARGET_RANKS);
+		const targets = range(this.#loads.length).filter(rank => this.#canCopyTo(rank)).toSorted((a, b) => times[a]! - times[b]!).slice(0, MAX_TARGET_RANKS);
 		let best: Move | undefined;
 		let bestPenalty = before;
 		for (const add of this.#expertsByRank[slowest]!) {
@@ -159,16 +171,22 @@
 
 	/** Whether a rank may still take an expert in this change; limits those that are new to it. */
 	#canAdd(rank: number, add: number): boolean {
-		if (this.#original[rank]!.has(add)) {
-			return true;
-		}
+		return this.#original[rank]!.has(add) || this.#canCopyTo(rank);
+	}
+
+	#canCopyTo(rank: number): boolean {
+		const {copiesByRank, maxCopiesPerRank = Infinity} = this.#options;
+		const added = this.#countNew(rank);
+		return added < this.#shape.spare && copiesByRank[rank]! + added < maxCopiesPerRank;
+	}
 
+	#countNew(rank: number): number {
 		let added = 0;
 		for (const expert of this.#expertsByRank[rank]!) {
 			added += this.#original[rank]!.has(expert) ? 0 : 1;
 		}
 
-		return added < this.#shape.spare;
+		return added;
 	}
 
 	/** Experts that a rank may drop for the new one: none needed if a place is free, else those that other ranks hold too. */
