--- a/packages/gateway/__tests__/unit/peer-exchange.test.ts
+++ b/packages/gateway/__tests__/unit/peer-exchange.test.ts
@@ -4,8 +4,11 @@
 	callRaw, FakeEndpoint, FakeRegistry, response, startGateway, testConfig, testRoute,
 } from '../gateway-harness.js';
 import {sleep} from '#core';
-import type {EndpointRecord} from '#dispatch';
+import {PEER_LOAD_TTL_MS, type EndpointRecord} from '#dispatch';
+import {pollIntervalMs} from '#gateway';
 import {findFreePort} from '#harness';
+import {RequestClient} from '#links';
+import {hashHex} from '#routing';
 
 const TRUST_MS = 3000;
 
@@ -98,3 +101,35 @@
 	t.equal(await statusOf(ports[1], 'key-2'), '200');
 	t.ok(registries.every(({reads}, i) => reads > before[i]!), 'both read it');
 });
+
+for (const {name, peersDigest, isListed} of [
+	{name: 'an entry that knows the same entries', peersDigest: 'same', isListed: false},
+	{name: 'an entry that knows others', peersDigest: 'other', isListed: true},
+	{name: 'an entry of an earlier version', peersDigest: undefined, isListed: true},
+] as const) {
+	void t.test(`the addresses of entries are sent to ${name}: ${isListed}`, async t => {
+		const endpoint = await FakeEndpoint.create(t, 'e1', () => undefined);
+		const [port, requesting] = [await findFreePort(), await findFreePort()];
+		const from = `127.0.0.1:${requesting}`;
+		const registry = FakeRegistry.create(testConfig([testRoute()]), [endpoint.record()]);
+		await startGateway(t, registry, {peers: {host: '127.0.0.1', port, seeds: []}});
+		await startGateway(t, registry, {peers: {host: '127.0.0.1', port: requesting, seeds: [`127.0.0.1:${port}`]}});
+		await sleep(600);
+		const client = RequestClient.create(`127.0.0.1:${port}`);
+		const digest = peersDigest === 'same' ? hashHex([from, `127.0.0.1:${port}`].toSorted().join(' ')) : peersDigest;
+		const result = await client.request({
+			from, load: {}, peersDigest: digest, configVersion: 1, wantsConfig: false, wantsEndpoints: false,
+		}, 500);
+		client.close();
+		t.equal(result.kind, 'ok');
+		t.same((result as {value: {peers: readonly string[]}}).value.peers, isListed ? [from] : []);
+	});
+}
+
+void t.test('the interval of the exchange grows with the number of entries', t => {
+	t.equal(pollIntervalMs(0), 200);
+	t.equal(pollIntervalMs(11), 200);
+	t.ok(pollIntervalMs(34) / 34 >= pollIntervalMs(17) / 17, 'twice the entries cause no more messages of one entry');
+	t.ok(pollIntervalMs(340) * 2 <= PEER_LOAD_TTL_MS, 'counts do not expire in between');
+	t.end();
+});
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -12,4 +12,4 @@
 export {RequestHandler, type RequestHandlerContext} from './request-handler.js';
 export type {EndpointChange, Registry, RegistryResult} from './registry.js';
 export {CallerServer} from './caller-server.js';
-export {fetchEndpointsFromEntries} from './peer-exchange.js';
+export {fetchEndpointsFromEntries, pollIntervalMs} from './peer-exchange.js';
--- a/packages/gateway/src/peer-exchange.ts
+++ b/packages/gateway/src/peer-exchange.ts
@@ -9,17 +9,19 @@
 import {recordConfigChange, type EntryState} from './registry.js';
 import {sleep} from '#core';
 import {
-	FleetConfig, type EndpointRecord, type FleetConfigData, type Instant, type EndpointLimitReport, type EndpointTombstone, type LimitPermit, type LoadTracker, type InFlightCounts,
+	FleetConfig, PEER_LOAD_TTL_MS, type EndpointRecord, type FleetConfigData, type Instant, type EndpointLimitReport, type EndpointTombstone, type LimitPermit, type LoadTracker, type InFlightCounts,
 } from '#dispatch';
 import {RequestClient, RequestServer} from '#links';
 import type {CauseReport, CrashCause} from '#quarantine';
-import {rendezvousOrder} from '#routing';
+import {hashHex, rendezvousOrder} from '#routing';
 
 /** Request of one entry to another. */
 export type PeerRequest = {
 	/** `HOST:PORT` of the requesting entry; undefined for any other process. */
 	readonly from: string | undefined;
 	readonly load: InFlightCounts;
+	/** Digest of the addresses of the reachable entries that the requesting one knows; undefined from an entry of an earlier version. */
+	readonly peersDigest: string | undefined;
 	/** Version that the requesting entry has; 0 for none. */
 	readonly configVersion: number;
 	/** Whether it needs the content of a newer version because it cannot read the registry. */
@@ -39,7 +41,7 @@
 /** Response to a request. */
 export type PeerResponse = {
 	readonly load: InFlightCounts;
-	/** Addresses of the reachable entries that the responding one knows. */
+	/** Addresses of the reachable entries that the responding one knows; empty if the requesting entry knows the same ones. */
 	readonly peers: readonly string[];
 	readonly configVersion: number;
 	/** Time since its version was last known to be the newest, in ms; undefined if it has none. */
@@ -78,6 +80,12 @@
 /** Interval at which entries exchange their load, in ms: several times during a request. */
 const POLL_INTERVAL_MS = 200;
 
+/** Number of other entries up to which that interval holds; it grows with their number beyond, so that what an entry sends does not. */
+const PEERS_PER_INTERVAL = 17;
+
+/** Longest interval, in ms: counts of a peer expire after two of them. */
+const MAX_POLL_INTERVAL_MS = PEER_LOAD_TTL_MS / 2;
+
 /** Age of the configuration's confirmation from which all peers are polled, in ms: two reads of the registry have failed by then. */
 const POLL_ALL_AGE_MS = 1800;
 
@@ -184,6 +192,11 @@
 		return [...this.#peers].flatMap(([address, {isReachable}]) => isReachable ? [address] : []);
 	}
 
+	/** Digest of the reachable entries, including the one with this address. */
+	#peersDigest(address: string): string {
+		return hashHex([address, ...this.#reachablePeers()].toSorted().join(' '));
+	}
+
 	/** Share of a limit that this entry may grant, in (0, 1]: entries that it cannot reach may grant permits among themselves. */
 	#limitShare(): number {
 		return (this.#reachablePeers().length + 1) / (this.#peers.size + 1);
@@ -216,7 +229,7 @@
 				}
 			}
 
-			await sleep(POLL_INTERVAL_MS, signal);
+			await sleep(pollIntervalMs(this.#peers.size), signal);
 		}
 
 		clearTimeout(this.#announceTimer);
@@ -245,6 +258,7 @@
 		return {
 			from: address,
 			load: load.localCounts(),
+			peersDigest: this.#peersDigest(address),
 			configVersion: config.current?.version ?? 0,
 			wantsConfig: isPoll && this.#needsConfig(now),
 			wantsEndpoints: isPoll && (!directory.isRegistryReachable || directory.size === 0),
@@ -301,7 +315,7 @@
 		const {current} = config;
 		return {
 			load: load.localCounts(),
-			peers: this.#reachablePeers(),
+			peers: request.from !== undefined && request.peersDigest === this.#peersDigest(this.#options.address) ? [] : this.#reachablePeers(),
 			configVersion: current?.version ?? 0,
 			configAgeMs: current === undefined ? undefined : config.ageMs(at),
 			config: request.wantsConfig && current !== undefined && current.version > request.configVersion ? current.data : undefined,
@@ -343,6 +357,11 @@
 	}
 }
 
+/** Interval at which an entry exchanges its load with a number of other entries, in ms. */
+export function pollIntervalMs(peers: number): number {
+	return Math.min(MAX_POLL_INTERVAL_MS, POLL_INTERVAL_MS * Math.max(1, peers / PEERS_PER_INTERVAL));
+}
+
 /** Timeout of a request from a process that is not an entry, in ms. */
 const FETCH_TIMEOUT_MS = 300;
 
@@ -351,7 +370,7 @@
 	for (const address of addresses) {
 		const link = RequestClient.create(address);
 		const request: PeerRequest = {
-			from: undefined, load: {}, configVersion: 0, wantsConfig: false, wantsEndpoints: true, crashCauses: [], probe: undefined, limits: [], permitFor: undefined,
+			from: undefined, load: {}, peersDigest: undefined, configVersion: 0, wantsConfig: false, wantsEndpoints: true, crashCauses: [], probe: undefined, limits: [], permitFor: undefined,
 		};
 		const result = await link.request(request, FETCH_TIMEOUT_MS);
 		link.close();
