--- a/packages/rankmap/src/set-planner.ts
+++ b/packages/rankmap/src/set-planner.ts
@@ -2,7 +2,7 @@
  * Plans a better placement of experts for the observed load. Demand shifts within seconds and each copy costs
  * time and money, so a greedy search makes the few copies that relieve the slowest rank of each layer set most.
  */
-import {countCopies, rankLoads} from './expert-loads.js';
+import {rankLoads} from './expert-loads.js';
 import type {ExpertShape, GroupMap} from './types.js';
 
 /** Tokens by layer set and expert. */
@@ -87,8 +87,9 @@
 	}
 
 	readonly #expertsByRank: Array<Set<number>>;
+	/** Ranks that hold each expert. */
+	readonly #holders: ReadonlyArray<Set<number>>;
 	readonly #original: ReadonlyArray<ReadonlySet<number>>;
-	readonly #copyCounts: number[];
 	readonly #loads: number[];
 	readonly #mean: number;
 	readonly #load: readonly number[];
@@ -101,7 +102,13 @@
 		this.#options = options;
 		this.#expertsByRank = placement.map(experts => new Set(experts));
 		this.#original = placement.map(experts => new Set(experts));
-		this.#copyCounts = countCopies(placement, load.length);
+		this.#holders = Array.from({length: load.length}, () => new Set<number>());
+		for (const [rank, experts] of placement.entries()) {
+			for (const expert of experts) {
+				this.#holders[expert]?.add(rank);
+			}
+		}
+
 		this.#loads = rankLoads(placement, load);
 		this.#mean = this.#loads.reduce((sum, value) => sum + value, 0) / this.#loads.length;
 	}
@@ -135,7 +142,7 @@
 	#findBestMove(): Move | undefined {
 		const times = this.#loads.map((value, rank) => value * this.#paceOf(rank));
 		const slowest = indexOfMax(times);
-		const before = this.#penalty();
+		const before = this.#loads.reduce((sum, _, rank) => sum + this.#penaltyOf(rank, this.#loads[rank]!), 0);
 		const targets = range(this.#loads.length).filter(rank => this.#canCopyTo(rank)).toSorted((a, b) => times[a]! - times[b]!).slice(0, MAX_TARGET_RANKS);
 		let best: Move | undefined;
 		let bestPenalty = before;
@@ -146,8 +153,8 @@
 				}
 
 				for (const drop of this.#findDropCandidates(rank, add)) {
-					const penalty = this.#penaltyAfter({rank, add, drop});
-					if (penalty < bestPenalty - TOLERANCE) {
+					const penalty = before + this.#penaltyChange({rank, add, drop});
+					if (penalty < bestPenalty - (TOLERANCE * this.#loads.length)) {
 						bestPenalty = penalty;
 						best = {rank, add, drop};
 					}
@@ -158,8 +165,8 @@
 		// Dropping an expert that other ranks hold too costs nothing.
 		for (const drop of this.#expertsByRank[slowest]!) {
 			const move = {rank: slowest, add: undefined, drop};
-			const penalty = this.#copyCounts[drop]! > 1 ? this.#penaltyAfter(move) : bestPenalty;
-			if (penalty < bestPenalty - TOLERANCE) {
+			const penalty = this.#holders[drop]!.size > 1 ? before + this.#penaltyChange(move) : bestPenalty;
+			if (penalty < bestPenalty - (TOLERANCE * this.#loads.length)) {
 				bestPenalty = penalty;
 				best = move;
 			}
@@ -196,72 +203,75 @@
 			return [undefined];
 		}
 
-		return [...experts].filter(expert => expert !== add && this.#copyCounts[expert]! > 1);
+		return [...experts].filter(expert => expert !== add && this.#holders[expert]!.size > 1);
 	}
 
-	#penalty(): number {
-		return this.#loads.reduce((sum, value, rank) => sum + ((value * this.#paceOf(rank) / this.#mean) ** PENALTY_POWER), 0) / this.#loads.length;
+	/** Penalty of one rank with a load. */
+	#penaltyOf(rank: number, load: number): number {
+		return (load * this.#paceOf(rank) / this.#mean) ** PENALTY_POWER;
 	}
 
-	/** Approximate time of the slowest rank for a penalty, as a multiple of the mean load. */
+	/** Approximate time of the slowest rank for the sum of all penalties, as a multiple of the mean load. */
 	#smoothMax(penalty: number): number {
-		return (penalty * this.#loads.length) ** (1 / PENALTY_POWER);
+		return penalty ** (1 / PENALTY_POWER);
 	}
 
 	#paceOf(rank: number): number {
 		return this.#options.paces?.[rank] ?? 1;
 	}
 
-	#penaltyAfter(move: Move): number {
-		const undo = this.#changeLoads(move);
-		const penalty = this.#penalty();
-		undo();
-		return penalty;
+	/** Change of the sum of all penalties by a move. Only the ranks that hold an expert of the move count: groups have up to some hundred ranks. */
+	#penaltyChange(move: Move): number {
+		let change = 0;
+		for (const [rank, load] of this.#loadsAfter(move)) {
+			change += this.#penaltyOf(rank, load) - this.#penaltyOf(rank, this.#loads[rank]!);
+		}
+
+		return change;
 	}
 
-	/** Updates the loads for a move; returns a function that restores them. */
-	#changeLoads({rank, add, drop}: Move): () => void {
-		const saved = [...this.#loads];
+	/** New loads of the ranks that a move affects. */
+	#loadsAfter({rank, add, drop}: Move): ReadonlyMap<number, number> {
+		const loads = new Map<number, number>();
 		if (add !== undefined) {
-			this.#changeCopies(add, rank, 1);
+			this.#redistribute(loads, add, rank, 1);
 		}
 
 		if (drop !== undefined) {
-			this.#changeCopies(drop, rank, -1);
+			this.#redistribute(loads, drop, rank, -1);
 		}
 
-		return () => {
-			for (const [index, value] of saved.entries()) {
-				this.#loads[index] = value;
-			}
-		};
+		return loads;
 	}
 
-	/** Redistributes the load of an expert when a rank gains (`by` 1) or loses (-1) a copy. */
-	#changeCopies(expert: number, rank: number, by: 1 | -1): void {
-		const copies = this.#copyCounts[expert]!;
+	/** Redistributes the load of an expert when a rank gains (`by` 1) or loses (-1) a copy; updates `loads`. */
+	#redistribute(loads: Map<number, number>, expert: number, rank: number, by: 1 | -1): void {
+		const holders = this.#holders[expert]!;
 		const tokens = this.#load[expert] ?? 0;
-		const [before, after] = [tokens / copies, tokens / (copies + by)];
-		for (const [other, experts] of this.#expertsByRank.entries()) {
-			if (other !== rank && experts.has(expert)) {
-				this.#loads[other]! += after - before;
+		const [before, after] = [tokens / holders.size, tokens / (holders.size + by)];
+		for (const other of holders) {
+			if (other !== rank) {
+				loads.set(other, (loads.get(other) ?? this.#loads[other]!) + after - before);
 			}
 		}
 
-		this.#loads[rank]! += by === 1 ? after : -before;
+		loads.set(rank, (loads.get(rank) ?? this.#loads[rank]!) + (by === 1 ? after : -before));
 	}
 
 	#apply(move: Move): void {
-		this.#changeLoads(move);
+		for (const [rank, load] of this.#loadsAfter(move)) {
+			this.#loads[rank] = load;
+		}
+
 		const experts = this.#expertsByRank[move.rank]!;
 		if (move.add !== undefined) {
 			experts.add(move.add);
-			this.#copyCounts[move.add]! += 1;
+			this.#holders[move.add]!.add(move.rank);
 		}
 
 		if (move.drop !== undefined) {
 			experts.delete(move.drop);
-			this.#copyCounts[move.drop]! -= 1;
+			this.#holders[move.drop]!.delete(move.rank);
 		}
 	}
 }
