--- a/packages/dispatch/__tests__/unit/stream-capacity-load.test.ts
+++ b/packages/dispatch/__tests__/unit/stream-capacity-load.test.ts
@@ -85,6 +85,12 @@
 /** Streams per second that this group completes while its slower steps are at the target. */
 const capacityPerSecond = ((TARGET_GAP_MS - 20) / 0.25) / (MEAN_EVENTS * TARGET_GAP_MS / 1000);
 
+/** Time for which steps are slow whatever the load. */
+const SLOW_START_MS = 3000;
+
+/** Time until the streams that began meanwhile have ended, in ms. */
+const SETTLING_MS = 5000;
+
 for (const seed of [1, 2, 3]) {
 	void t.test(`overload: nearly as many streams as the group can serve are on time (seed ${seed})`, t => {
 		const limited = simulate(overload, true, seed);
@@ -104,4 +110,20 @@
 		t.ok(refused <= (onTime + late + refused) * 0.1, `${refused} of ${onTime + late + refused}`);
 		t.end();
 	});
+
+	void t.test(`overload that begins with some slow seconds is limited all the same (seed ${seed})`, t => {
+		const stepMs = (running: number, now: number) => now < SLOW_START_MS ? 300 : shiftingStep(running, now);
+		const limited = simulate({...overload, stepMs}, true, seed);
+		const onTimePerSecond = limited.onTime * 1000 / (SIMULATED_MS - SLOW_START_MS - SETTLING_MS);
+		t.ok(onTimePerSecond >= capacityPerSecond * 0.8, `${onTimePerSecond} of ${capacityPerSecond} a second`);
+		t.end();
+	});
+
+	void t.test(`overload that shifts of demand make much worse for most of the time is limited (seed ${seed})`, t => {
+		const stepMs = (running: number, now: number) => 34 + (running * (now % 2400 < 1200 ? 0.26 : 0.14));
+		const load = {perSecond: 190, stepMs};
+		const [limited, unlimited] = [simulate(load, true, seed), simulate(load, false, seed)];
+		t.ok(limited.onTime > unlimited.onTime * 1.5, `${limited.onTime} on time with a limit, ${unlimited.onTime} without`);
+		t.end();
+	});
 }
--- a/packages/dispatch/src/stream-capacity.ts
+++ b/packages/dispatch/src/stream-capacity.ts
@@ -37,8 +37,11 @@
 /** Share of the slots from which steps tell how their time grows with the requests; below the lowest limit, since requests in flight vary around a limit. */
 const MIN_OBSERVED_SHARE = 0.4;
 
-/** Time for which nothing is limited after the lowest limit did not bring gaps within the target, in ms: something else slows the steps then, and refusals would not help. */
-const SUSPENSION_MS = 10_000;
+/** Multiple of the lowest limit up to which the requests in flight count as limited to it; they vary around a limit. */
+const LIMITED_SHARE = 1.15;
+
+/** Time for which nothing is limited after gaps exceeded the target at the lowest limit, in ms: something else slows the steps then, and refusals would not help. It passes within seconds. */
+const SUSPENSION_MS = 5000;
 
 /** Load of a service. */
 export type ServiceLoad = {
@@ -62,7 +65,7 @@
 	}
 
 	#slices: readonly Slice[] = [];
-	#estimate: Estimate = {gapMs: undefined, gapPerRequestMs: 0};
+	#estimate: Estimate = {gapMs: undefined, gapPerRequestMs: 0, lowestLimitGapMs: undefined};
 	#suspendedUntil = Number.NEGATIVE_INFINITY;
 	readonly #onSuspend: (gapMs: number) => void;
 
@@ -88,12 +91,12 @@
 	}
 
 	/**
-	 * The limit for the streams of a route at `now` (monotonic ms). Suspends it if even the lowest limit would not bring the gaps within the target.
+	 * The limit for the streams of a route at `now` (monotonic ms). Suspends it if even the lowest limit did not bring the gaps within the target.
 	 *
 	 * @param targetGapMs - The route's target for the longest gap between two events.
 	 */
 	limitFor(targetGapMs: number, now: number): StreamLimit {
-		const {gapMs, gapPerRequestMs} = this.#estimate;
+		const {gapMs, gapPerRequestMs, lowestLimitGapMs} = this.#estimate;
 		const newest = this.#slices.at(-1);
 		if (gapMs === undefined || newest === undefined || gapMs < targetGapMs * UNLIMITED_SHARE || now - newest.startedAt > WINDOW_MS) {
 			return {maxInFlight: Infinity, gapMs};
@@ -102,7 +105,7 @@
 		const goalMs = targetGapMs * TARGET_SHARE;
 		const lowest = newest.slots * MIN_LIMIT_SHARE;
 		const limit = goalMs / gapPerRequestMs;
-		if (limit < lowest && gapMs > goalMs) {
+		if (limit < lowest && lowestLimitGapMs !== undefined && lowestLimitGapMs > goalMs) {
 			if (now >= this.#suspendedUntil) {
 				this.#onSuspend(gapMs);
 			}
@@ -114,15 +117,18 @@
 	}
 }
 
-/** What the slower steps of a window took, in total and per request in flight. */
-type Estimate = {readonly gapMs: number | undefined; readonly gapPerRequestMs: number};
+/** What the slower steps of a window took: in total, per request in flight, and while about as many requests ran as with the lowest limit. */
+type Estimate = {readonly gapMs: number | undefined; readonly gapPerRequestMs: number; readonly lowestLimitGapMs: number | undefined};
 
 function estimateFrom(allSlices: readonly Slice[]): Estimate {
 	const slices = allSlices.filter(({inFlight, slots}) => inFlight > 0 && inFlight >= slots * MIN_OBSERVED_SHARE);
 	const gaps = slices.flatMap(slice => slice.gaps);
-	return gaps.length < MIN_GAPS
-		? {gapMs: undefined, gapPerRequestMs: 0}
-		: {gapMs: quantileOf(gaps), gapPerRequestMs: quantileOf(slices.flatMap(({gaps, inFlight}) => gaps.map(gapMs => gapMs / inFlight)))};
+	const limitedGaps = slices.filter(({inFlight, slots}) => inFlight <= slots * MIN_LIMIT_SHARE * LIMITED_SHARE).flatMap(slice => slice.gaps);
+	return {
+		gapMs: gaps.length < MIN_GAPS ? undefined : quantileOf(gaps),
+		gapPerRequestMs: gaps.length < MIN_GAPS ? 0 : quantileOf(slices.flatMap(({gaps, inFlight}) => gaps.map(gapMs => gapMs / inFlight))),
+		lowestLimitGapMs: limitedGaps.length < MIN_GAPS ? undefined : quantileOf(limitedGaps),
+	};
 }
 
 function quantileOf(values: readonly number[]): number {
