--- a/packages/coordination/src/retry-budget.ts
+++ b/packages/coordination/src/retry-budget.ts
@@ -7,8 +7,8 @@
 	readonly fraction?: number;
 	/** Length of the window in ms; default 10,000. */
 	readonly windowMs?: number;
-	/** Retries per window that are allowed regardless of the number of requests; default 3. */
-	readonly minRetries?: number;
+	/** Retries per window that are allowed regardless of the number of requests, or a function that returns the number in force; default 3. */
+	readonly minRetries?: number | (() => number);
 };
 
 type Slot = {index: number; requests: number; retries: number};
@@ -32,16 +32,17 @@
 
 	readonly #fraction: number;
 	readonly #slotMs: number;
-	readonly #minRetries: number;
+	readonly #minRetries: () => number;
 	readonly #slots: Slot[] = [];
 
 	private constructor(options: RetryBudgetOptions) {
 		const windowMs = options.windowMs ?? DEFAULT_WINDOW_MS;
 		this.#fraction = options.fraction ?? DEFAULT_FRACTION;
-		this.#minRetries = options.minRetries ?? DEFAULT_MIN_RETRIES;
+		const {minRetries = DEFAULT_MIN_RETRIES} = options;
+		this.#minRetries = typeof minRetries === 'function' ? minRetries : () => minRetries;
 		this.#slotMs = windowMs / SLOT_COUNT;
 		invariant(windowMs > 0, `retry budget: window of ${windowMs} ms is not positive`);
-		invariant(this.#fraction >= 0 && this.#minRetries >= 0, 'retry budget: negative fraction or minimum of retries');
+		invariant(this.#fraction >= 0 && this.#minRetries() >= 0, 'retry budget: negative fraction or minimum of retries');
 	}
 
 	/** Counts a request, by its first attempt, at `now` (ms). */
@@ -70,7 +71,7 @@
 			retries += slot.retries;
 		}
 
-		return Math.max(0, Math.max(this.#minRetries, Math.floor(requests * this.#fraction)) - retries);
+		return Math.max(0, Math.max(this.#minRetries(), Math.floor(requests * this.#fraction)) - retries);
 	}
 
 	#slotAt(now: number): Slot {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -50,8 +50,11 @@
 	readonly metrics: Metrics;
 };
 
-/** Number of entries that the slack of the retry budget is divided among: those of the largest deployment in use, and its spare ones. */
-const ENTRIES_SHARING_SLACK = 24;
+/** Minimum number of entries that the slack of the retry budget is divided among: an entry that reaches no other does not know how many there are. */
+const MIN_ENTRIES_SHARING_SLACK = 24;
+
+/** Share of further entries, on top of those that an entry has seen, for which a part of the slack is left. */
+const SPARE_ENTRIES_SHARE = 0.25;
 
 /** Time for which a stopping entry still accepts connections, in ms: the load balancer checks once a second and removes an entry after two failed checks. */
 const DEREGISTRATION_DELAY_MS = 2600;
@@ -62,6 +65,21 @@
 /** Interval at which a stopping entry checks whether all requests have ended, in ms. */
 const STOP_POLL_MS = 50;
 
+/** An entry's share of the slack that all entries have together. */
+export class SlackShare {
+	static create(): SlackShare {
+		return new SlackShare();
+	}
+
+	#mostEntries = 0;
+
+	/** Share of `slack` for an entry that counts `entries` now. It does not grow when the entry loses sight of others, which still use theirs. */
+	of(slack: number, entries: number): number {
+		this.#mostEntries = Math.max(this.#mostEntries, entries);
+		return Math.floor(slack / Math.max(MIN_ENTRIES_SHARING_SLACK, this.#mostEntries * (1 + SPARE_ENTRIES_SHARE)));
+	}
+}
+
 export class Gateway {
 	/** Starts the entry. Rejects if an address is taken. */
 	static async create(options: GatewayOptions): Promise<Gateway> {
@@ -78,6 +96,7 @@
 	readonly #stop = new AbortController();
 	readonly #budgets = new Map<string, RetryBudget>();
 	readonly #capacities = new Map<string, StreamCapacity>();
+	readonly #slackShare = SlackShare.create();
 	#callerServer: CallerServer | undefined;
 	#peerExchange: PeerExchange | undefined;
 	#isStopping = false;
@@ -228,7 +247,7 @@
 		let budget = this.#budgets.get(service);
 		if (budget === undefined) {
 			const {fraction, windowMs, slack} = this.#options.retry;
-			budget = RetryBudget.create({fraction, windowMs, minRetries: Math.floor(slack / ENTRIES_SHARING_SLACK)});
+			budget = RetryBudget.create({fraction, windowMs, minRetries: () => this.#slackShare.of(slack, this.#context.load.entryCount(performance.now()))});
 			this.#budgets.set(service, budget);
 		}
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -3,7 +3,7 @@
 	CallerRequest, Dialect, ForwardingInfo, RawHeaders, ResponseHead,
 } from './dialect.js';
 export {ConnectionPool, type AcquiredConnection, type ConnectionTarget} from './connection-pool.js';
-export {Gateway, type GatewayOptions} from './gateway.js';
+export {Gateway, SlackShare, type GatewayOptions} from './gateway.js';
 export type {GroupProbe} from './group-monitor.js';
 export {EntryEventLog, type EntryEvent, type RequestSummary} from './event-log.js';
 export {
