--- a/packages/gateway/__tests__/gateway-harness.ts
+++ b/packages/gateway/__tests__/gateway-harness.ts
@@ -34,8 +34,9 @@
 }
 
 export class FakeEndpoint {
-	static async create(t: Test, id: string, script: Script): Promise<FakeEndpoint> {
-		const endpoint = new FakeEndpoint(id, script);
+	/** @param onConnection - Called with each new connection. */
+	static async create(t: Test, id: string, script: Script, onConnection: () => void = () => undefined): Promise<FakeEndpoint> {
+		const endpoint = new FakeEndpoint(id, script, onConnection);
 		endpoint.#server.listen(0, '127.0.0.1');
 		await once(endpoint.#server, 'listening');
 		t.teardown(() => {
@@ -50,10 +51,11 @@
 	readonly #sockets = new Set<Socket>();
 	readonly #id: string;
 
-	private constructor(id: string, script: Script) {
+	private constructor(id: string, script: Script, onConnection: () => void) {
 		this.#id = id;
 		this.#server = createServer(socket => {
 			this.connections += 1;
+			onConnection();
 			this.#sockets.add(socket);
 			let text = '';
 			socket.on('error', () => undefined);
--- a/packages/gateway/__tests__/unit/peer-exchange.test.ts
+++ b/packages/gateway/__tests__/unit/peer-exchange.test.ts
@@ -114,15 +114,21 @@
 		const registry = FakeRegistry.create(testConfig([testRoute()]), [endpoint.record()]);
 		await startGateway(t, registry, {peers: {host: '127.0.0.1', port, seeds: []}});
 		await startGateway(t, registry, {peers: {host: '127.0.0.1', port: requesting, seeds: [`127.0.0.1:${port}`]}});
-		await sleep(600);
 		const client = RequestClient.create(`127.0.0.1:${port}`);
-		const digest = peersDigest === 'same' ? hashHex([from, `127.0.0.1:${port}`].toSorted().join(' ')) : peersDigest;
-		const result = await client.request({
-			from, load: {}, peersDigest: digest, configVersion: 1, wantsConfig: false, wantsEndpoints: false,
-		}, 500);
+		const listPeers = async (digest: string | undefined) => {
+			const result = await client.request({
+				from, load: {}, peersDigest: digest, configVersion: 1, wantsConfig: false, wantsEndpoints: false,
+			}, 500);
+			return result.kind === 'ok' ? (result.value as {readonly peers: readonly string[]}).peers : [];
+		};
+
+		for (let listed = await listPeers(undefined); !listed.includes(from); listed = await listPeers(undefined)) {
+			await sleep(20);
+		}
+
+		const known = hashHex([from, `127.0.0.1:${port}`].toSorted().join(' '));
+		t.same(await listPeers(peersDigest === 'same' ? known : peersDigest), isListed ? [from] : []);
 		client.close();
-		t.equal(result.kind, 'ok');
-		t.same((result as {value: {peers: readonly string[]}}).value.peers, isListed ? [from] : []);
 	});
 }
 
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -9,8 +9,8 @@
 
 /** Result of an attempt. */
 export type AttemptResult
-	/** No byte of the request was sent. */
-	= | {readonly kind: 'not-sent'; readonly reason: string}
+	/** No byte of the request was sent. `isForbidden`: it could have been, but was no longer allowed. */
+	= | {readonly kind: 'not-sent'; readonly reason: string; readonly isForbidden: boolean}
 		/** The endpoint states that it did not run the request. */
 		| {readonly kind: 'not-run'; readonly status: number; readonly isMisdirected: boolean; readonly faultyEndpointId: string | undefined}
 		/** A complete response. */
@@ -51,12 +51,12 @@
 	const {req, endpoint, callerDisconnected} = input;
 	const opened = await pool.acquire(endpoint, {isNewRequired: !input.mayReuseConnection, timeoutMs: input.remainingMs()});
 	if (opened.kind === 'failed') {
-		return {kind: 'not-sent', reason: opened.reason};
+		return {kind: 'not-sent', reason: opened.reason, isForbidden: false};
 	}
 
 	if (callerDisconnected.aborted || !input.maySend()) {
 		pool.release(endpoint, opened.socket, undefined);
-		return callerDisconnected.aborted ? {kind: 'caller-left'} : {kind: 'not-sent', reason: 'no longer allowed'};
+		return callerDisconnected.aborted ? {kind: 'caller-left'} : {kind: 'not-sent', reason: 'no longer allowed', isForbidden: true};
 	}
 
 	const forwarding = {...input.forwarding, remainingMs: input.remainingMs(), bodyBytes: input.body.length};
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -16,7 +16,7 @@
 import {relayStream, type RelayInput, type RelayResult} from './stream-relay.js';
 import type {RetryBudget} from '#coordination';
 import {
-	chooseEndpoint, effectivePriority, isLate, LATE_SLOT_SHARE, maxInFlightFor, queueLimitFor, streamPatienceMs, type AttemptOutcome, type EndpointDirectory, type EndpointHealth, type EndpointRecord, type Instant, type LoadTracker,
+	chooseEndpoint, effectivePriority, elapsedMs, isLate, LATE_SLOT_SHARE, maxInFlightFor, queueLimitFor, streamPatienceMs, type AttemptOutcome, type EndpointDirectory, type EndpointHealth, type EndpointRecord, type Instant, type LoadTracker,
 	type PriorityInput, type Route, type ServiceLoad, type StreamCapacity, type Workspace,
 } from '#dispatch';
 import {fingerprintOfCall, type CrashCause} from '#quarantine';
@@ -59,6 +59,9 @@
 /** Maximum number of denied permits per attempt: each one costs a round trip to another entry, so endpoints without a limit are chosen then. */
 const MAX_DENIED_PERMITS = 3;
 
+/** Time for which a permit of an endpoint or a probe is valid, in ms: others are granted after it. */
+const PERMISSION_LIFETIME_MS = 1000;
+
 type EndpointChoice
 	= | {readonly kind: 'chosen'; readonly endpoint: EndpointRecord}
 		| {readonly kind: 'none'; readonly reason: RefusalReason; readonly detail: string};
@@ -87,6 +90,8 @@
 	#crashCauses: readonly CrashCause[] = [];
 	/** Suspects that the current attempt is a probe of. */
 	#probedCauses: readonly CrashCause[] = [];
+	/** When the permissions of the current attempt were asked for; undefined if it needs none. */
+	#permittedAt: Instant | undefined;
 	/** Time until an endpoint accepts another request, in ms, if all have reached their limits. */
 	#limitWaitMs = 0;
 	#lastEndpoint = '';
@@ -138,6 +143,11 @@
 		return maySend(this.#context, this.#req, this.#workspace);
 	}
 
+	/** Whether what was granted for the current attempt, a permit of its endpoint or a probe, still holds. */
+	#isPermissionFresh(): boolean {
+		return this.#permittedAt === undefined || elapsedMs(this.#permittedAt, this.#context.now()) <= PERMISSION_LIFETIME_MS;
+	}
+
 	async #attemptUntilDone(route: Route): Promise<FinalResult> {
 		for (;;) {
 			if (this.#callerResponse.disconnected.aborted) {
@@ -152,6 +162,7 @@
 				return this.#fail('group-stopped');
 			}
 
+			const choosingAt = this.#context.now();
 			const choice = await this.#chooseEndpoint(route);
 			if (choice.kind === 'none') {
 				return this.#fail(choice.reason, choice.detail);
@@ -163,6 +174,8 @@
 			}
 
 			this.#probedCauses = admission.probed;
+			// Counted from when it was asked for: this process may have been paused since it was granted.
+			this.#permittedAt = admission.probed.length > 0 || this.#context.limitGuard.isLimited(choice.endpoint.id) ? choosingAt : undefined;
 			const result = await this.#attempt(route, choice.endpoint);
 			const next = await this.#handleResult(route, choice.endpoint, result);
 			if (next !== 'retry') {
@@ -268,7 +281,7 @@
 			mayReuseConnection: isRepeatable(route),
 			remainingMs: () => Math.floor(this.#remainingMs(route) - DEADLINE_MARGIN_MS),
 			responseTimeoutMs: this.#responseTimeoutMs(route),
-			maySend: () => this.#maySend() && context.directory.lookUp(endpoint.id, this.#monotonicNow()) !== undefined,
+			maySend: () => this.#maySend() && this.#isPermissionFresh() && context.directory.lookUp(endpoint.id, this.#monotonicNow()) !== undefined,
 			callerDisconnected: this.#callerResponse.disconnected,
 			onResponse(response) {
 				context.limitGuard.record(endpoint.id, response);
@@ -326,7 +339,7 @@
 			}
 
 			case 'not-sent': {
-				return this.#handleNotSent(endpoint, result.reason);
+				return this.#handleNotSent(endpoint, result);
 			}
 
 			case 'not-run': {
@@ -376,8 +389,14 @@
 		}
 	}
 
-	#handleNotSent(endpoint: EndpointRecord, reason: string): FinalResult | 'retry' {
-		this.#recordOutcome(endpoint.id, 'unreachable');
+	#handleNotSent(endpoint: EndpointRecord, {reason, isForbidden}: Extract<AttemptResult, {kind: 'not-sent'}>): FinalResult | 'retry' {
+		if (isForbidden) {
+			// The endpoint got nothing and is not to blame; with a new permission it may be tried again.
+			this.#triedEndpoints.delete(endpoint.id);
+		} else {
+			this.#recordOutcome(endpoint.id, 'unreachable');
+		}
+
 		this.#connectFailures += 1;
 		const willRetry = this.#connectFailures < MAX_CONNECT_FAILURES;
 		this.#recordAttemptFailure(endpoint, 'not-sent', reason, willRetry);
