--- a/packages/dispatch/src/load-tracker.ts
+++ b/packages/dispatch/src/load-tracker.ts
@@ -3,7 +3,7 @@
 /** Requests in flight from one entry, by endpoint id. */
 export type InFlightCounts = Readonly<Record<string, number>>;
 
-/** Counts of another entry are discarded after this time without an update, in ms: ten of its reports, by when its requests have gone to other entries. */
+/** Counts of another entry are discarded after this time without an update, in ms: two of its reports at the longest interval between them. */
 export const PEER_LOAD_TTL_MS = 2000;
 
 export class LoadTracker {
