--- a/packages/dispatch/src/event-splitter.ts
+++ b/packages/dispatch/src/event-splitter.ts
@@ -32,9 +32,10 @@
 export class EventSplitter {
 	/**
 	 * @param lastId - Id of the last event that the caller has; events up to it are dropped, and the next one must follow it.
+	 * @param requiresIds - Whether each event needs an id, so that the stream can be resumed after it.
 	 */
-	static create(lastId?: number): EventSplitter {
-		return new EventSplitter(lastId);
+	static create(lastId?: number, requiresIds = lastId !== undefined): EventSplitter {
+		return new EventSplitter(lastId, requiresIds);
 	}
 
 	/** Id of the last event that was forwarded. */
@@ -43,9 +44,11 @@
 	#lastSourceId: number | undefined;
 	#pending: Uint8Array = new Uint8Array(0);
 	#fault: string | undefined;
+	readonly #requiresIds: boolean;
 
-	private constructor(lastId: number | undefined) {
+	private constructor(lastId: number | undefined, requiresIds: boolean) {
 		this.lastId = lastId;
+		this.#requiresIds = requiresIds;
 	}
 
 	/** Number of bytes of an incomplete event. */
@@ -92,8 +95,8 @@
 
 	#acceptEvent(id: number | undefined): boolean {
 		if (id === undefined) {
-			// Streams without ids cannot be resumed, but a stream does not mix events with and without one.
-			this.#fault = this.lastId === undefined ? undefined : 'an event without an id';
+			// A stream that need not be resumed may have no ids, but once an event has one, those after it need one too.
+			this.#fault = this.#requiresIds || this.lastId !== undefined ? 'an event without an id' : undefined;
 			return this.#fault === undefined;
 		}
 
--- a/packages/gateway/__tests__/unit/foreign-answers.test.ts
+++ b/packages/gateway/__tests__/unit/foreign-answers.test.ts
@@ -43,6 +43,7 @@
 
 /** What the first endpoint sends after the head of its stream. */
 const streamCases: ReadonlyArray<{readonly name: string; readonly body: string}> = [
+	{name: 'an event without an id as the first one', body: chunk('data: of another\n\n')},
 	{name: 'a head and a body of another answer', body: chunk(event(1)) + chunk('HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: q0\r\nX-Not-Run: 1\r\n\r\n') + chunk('busy\n\n')},
 	{name: 'an event without an id', body: chunk(event(1)) + chunk('data: of another\n\n')},
 	{name: 'an error text', body: chunk(event(1)) + chunk('{"error": "failed"}\n\n')},
@@ -61,7 +62,7 @@
 				return;
 			}
 
-			const last = Number(req.headers.get('x-last-event'));
+			const last = Number(req.headers.get('x-last-event') ?? 0);
 			const events = [1, 2, 3, 4, 5].filter(id => id > last).map(id => event(id));
 			socket.write(streamHead(req.id) + chunk(events.join('')) + chunk(''));
 		};
@@ -73,6 +74,11 @@
 		t.notMatch(text, /HTTP\/1\.1 503|busy|of another|failed/u);
 	});
 
+	if (!body.includes('id:')) {
+		// Streams that can't be resumed need no ids.
+		continue;
+	}
+
 	await t.test(`a stream that must not be resumed is cut off: ${name}`, async t => {
 		const endpoint = await FakeEndpoint.create(t, 'e1', (socket, {id}) => socket.write(streamHead(id) + body));
 		const {port} = await startGateway(t, FakeRegistry.create(testConfig([testRoute({kind: notResumable})]), [endpoint.record()]));
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -470,6 +470,7 @@
 			callerResponse: this.#callerResponse,
 			head: isFirst ? this.#context.dialect.headersToCaller(res.rawHeaders) : undefined,
 			lastEventId: this.#lastEventId,
+			isResumable: isRepeatable(route),
 			previousEventAt: this.#stream === undefined ? undefined : this.#lastEventAt,
 			inactivityTimeoutMs: this.#inactivityTimeoutMs(route),
 			remainingMs: this.#remainingMs(route),
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -33,6 +33,8 @@
 	readonly head: readonly string[] | undefined;
 	/** Id of the last event that the caller has. */
 	readonly lastEventId: number | undefined;
+	/** Whether the stream may be resumed, for which each event needs an id. */
+	readonly isResumable: boolean;
 	/** When an earlier endpoint's last event was forwarded, in monotonic ms; undefined if the caller has no event yet. */
 	readonly previousEventAt: number | undefined;
 	/** Time without a complete event after which a stream counts as broken, in ms: before its first event, and between later ones. */
@@ -45,8 +47,8 @@
 	readonly onGap: (gapMs: number) => void;
 };
 
-export async function relayStream({res, exchange, callerResponse, head, lastEventId, previousEventAt, inactivityTimeoutMs, remainingMs, onFirstEvent, onGap}: RelayInput): Promise<RelayResult> {
-	const splitter = EventSplitter.create(lastEventId);
+export async function relayStream({res, exchange, callerResponse, head, lastEventId, isResumable, previousEventAt, inactivityTimeoutMs, remainingMs, onFirstEvent, onGap}: RelayInput): Promise<RelayResult> {
+	const splitter = EventSplitter.create(lastEventId, isResumable || lastEventId !== undefined);
 	let lastEventAt = performance.now();
 	let gapStartedAt = previousEventAt;
 	let events = 0;
