--- a/packages/gateway/__tests__/unit/foreign-answers.test.ts
+++ b/packages/gateway/__tests__/unit/foreign-answers.test.ts
@@ -41,9 +41,9 @@
 
 const event = (id: number) => `id: ${id}\ndata: ${id}\n\n`;
 
-/** What the first endpoint sends after the head of its stream. */
-const streamCases: ReadonlyArray<{readonly name: string; readonly body: string}> = [
-	{name: 'an event without an id as the first one', body: chunk('data: of another\n\n')},
+/** What the first endpoint sends after the head of its stream. `needsIds`: only a stream whose events need ids shows that it is not its own. */
+const streamCases: ReadonlyArray<{readonly name: string; readonly body: string; readonly needsIds?: boolean}> = [
+	{name: 'an event without an id as the first one', body: chunk('data: of another\n\n'), needsIds: true},
 	{name: 'a head and a body of another answer', body: chunk(event(1)) + chunk('HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: q0\r\nX-Not-Run: 1\r\n\r\n') + chunk('busy\n\n')},
 	{name: 'an event without an id', body: chunk(event(1)) + chunk('data: of another\n\n')},
 	{name: 'an error text', body: chunk(event(1)) + chunk('{"error": "failed"}\n\n')},
@@ -52,7 +52,7 @@
 	{name: 'a skipped event, and a complete end', body: chunk(event(1)) + chunk(event(3)) + chunk('')},
 ];
 
-for (const {name, body} of streamCases) {
+for (const {name, body, needsIds = false} of streamCases) {
 	await t.test(`a stream is resumed after the last sound event: ${name}`, async t => {
 		let isFirst = true;
 		const script: Script = (socket, req) => {
@@ -74,8 +74,7 @@
 		t.notMatch(text, /HTTP\/1\.1 503|busy|of another|failed/u);
 	});
 
-	if (!body.includes('id:')) {
-		// Streams that can't be resumed need no ids.
+	if (needsIds) {
 		continue;
 	}
 
--- a/packages/gateway/src/peer-exchange.ts
+++ b/packages/gateway/src/peer-exchange.ts
@@ -117,6 +117,8 @@
 
 	readonly #peers = new Map<string, Peer>();
 	#announceTimer: NodeJS.Timeout | undefined;
+	/** Undefined after a change of the reachable peers. */
+	#cachedDigest: string | undefined;
 	readonly #options: PeerExchangeOptions;
 
 	private constructor(options: PeerExchangeOptions) {
@@ -192,9 +194,10 @@
 		return [...this.#peers].flatMap(([address, {isReachable}]) => isReachable ? [address] : []);
 	}
 
-	/** Digest of the reachable entries, including the one with this address. */
-	#peersDigest(address: string): string {
-		return hashHex([address, ...this.#reachablePeers()].toSorted().join(' '));
+	/** Digest of the reachable entries, including this one; computed anew only when they change, since each message needs it. */
+	#peersDigest(): string {
+		this.#cachedDigest ??= hashHex([this.#options.address, ...this.#reachablePeers()].toSorted().join(' '));
+		return this.#cachedDigest;
 	}
 
 	/** Share of a limit that this entry may grant, in (0, 1]: entries that it cannot reach may grant permits among themselves. */
@@ -258,7 +261,7 @@
 		return {
 			from: address,
 			load: load.localCounts(),
-			peersDigest: this.#peersDigest(address),
+			peersDigest: this.#peersDigest(),
 			configVersion: config.current?.version ?? 0,
 			wantsConfig: isPoll && this.#needsConfig(now),
 			wantsEndpoints: isPoll && (!directory.isRegistryReachable || directory.size === 0),
@@ -315,7 +318,7 @@
 		const {current} = config;
 		return {
 			load: load.localCounts(),
-			peers: request.from !== undefined && request.peersDigest === this.#peersDigest(this.#options.address) ? [] : this.#reachablePeers(),
+			peers: request.from !== undefined && request.peersDigest === this.#peersDigest() ? [] : this.#reachablePeers(),
 			configVersion: current?.version ?? 0,
 			configAgeMs: current === undefined ? undefined : config.ageMs(at),
 			config: request.wantsConfig && current !== undefined && current.version > request.configVersion ? current.data : undefined,
@@ -343,6 +346,7 @@
 		const now = this.#options.now().monotonicMs;
 		if (isReachable !== peer.isReachable) {
 			peer.isReachable = isReachable;
+			this.#cachedDigest = undefined;
 			this.#options.events.record({
 				kind: 'dependency', dependency: `entry ${address}`, isReachable, detail: '',
 			});
--- a/packages/rankagent/src/map-delta.ts
+++ b/packages/rankagent/src/map-delta.ts
@@ -22,6 +22,9 @@
 /** Number of maps that an agent keeps as bases: the one in use and the one being prepared. */
 const KEPT_MAPS = 2;
 
+/** Differences of each map from bases, undefined for the initial one: the ranks of a group mostly have the same base, and a group has up to some hundred ranks. */
+const encodedDeltas = new WeakMap<GroupMap, Map<GroupMap | undefined, MapDelta>>();
+
 /** Encodes maps for one agent. */
 export class MapEncoder {
 	static create(): MapEncoder {
@@ -37,6 +40,14 @@
 
 	/** Differences from the last map that the agent received. */
 	encode(map: GroupMap): MapDelta {
+		const deltas = encodedDeltas.get(map) ?? new Map<GroupMap | undefined, MapDelta>();
+		encodedDeltas.set(map, deltas);
+		const delta = deltas.get(this.#base?.map) ?? this.#encodeAnew(map);
+		deltas.set(this.#base?.map, delta);
+		return delta;
+	}
+
+	#encodeAnew(map: GroupMap): MapDelta {
 		const shape = {ranks: map[0]?.length ?? 0, sets: map.length, experts: Math.max(-1, ...map.flatMap(set => set.flat())) + 1};
 		const {version: base, map: baseMap} = this.#base ?? {version: 0, map: initialMapOf(shape)};
 		const changes = map.flatMap((ranks, set) => ranks.flatMap((experts, rank) => areEqual(experts, baseMap[set]?.[rank]) ? [] : [[set, rank, experts] as const]));
