--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -1,6 +1,6 @@
 /* eslint-disable camelcase, no-await-in-loop -- names of the wire; the rules that xo.config.js switches off for TypeScript */
 /**
- * The process beside one rank is killed while the group is held for a switch, before it forwards its order to arm. The
+ * The process beside a rank is killed while the group is held for a switch, before it forwards its order to arm. The
  * coordinator then reads that rank's state from another machine, where it is as of 200 ms ago.
  */
 import process from 'node:process';
@@ -13,9 +13,12 @@
 const SERVICE = 'mimosa-serve';
 const PLAY_MS = 40_000;
 
-/** The process is killed in the switch after this many undisturbed ones. */
+/** A process is killed in the switch after this many undisturbed ones. */
 const SOUND_SWITCHES = 1;
 
+/** If the rule held after a kill, another follows in a later switch, up to this many. */
+const MAX_KILLS = 4;
+
 /** Reports take some ms. The one that the coordinator waits for last takes longer, so that the kill falls before it in each run. */
 const REPORT_MS = 2;
 const SLOWEST_REPORT_MS = Number(process.env.SLOWEST_REPORT_MS ?? 25);
@@ -33,7 +36,9 @@
 	const agents = [];
 	/** Counts the map that the group starts with, too. */
 	let switches = -1;
-	let isKilled = false;
+	let kills = 0;
+	/** Number of switches from which on the next kill may come. */
+	let nextKillAt = SOUND_SWITCHES;
 	let lastPrepared;
 	const startAgent = rank => {
 		agents[rank.rank] = deployment.startRank(30 + rank.rank, SERVICE, rank.address);
@@ -41,13 +46,15 @@
 	};
 
 	const killAgent = ({rank}) => {
-		isKilled = true;
+		kills += 1;
+		nextKillAt = Infinity;
 		setTimeout(() => {
 			deployment.record(`${SIGNAL} to the process beside rank ${rank}`);
 			agents[rank].kill(SIGNAL);
 			setTimeout(() => {
 				if (!isOver) {
 					startAgent(group.ranks[rank]);
+					nextKillAt = switches + SOUND_SWITCHES;
 				}
 			}, RESTART_MS);
 		}, KILL_DELAY_MS);
@@ -62,7 +69,7 @@
 		},
 		onReport({rank, isOwn}) {
 			const isHeldForSwitch = group.ranks[0].held !== undefined && group.ranks[0].armed === undefined;
-			if (hasTrouble && !isKilled && switches >= SOUND_SWITCHES && isOwn && isHeldForSwitch && rank === lastPrepared?.rank) {
+			if (hasTrouble && kills < MAX_KILLS && switches >= nextKillAt && isOwn && isHeldForSwitch && rank === lastPrepared?.rank) {
 				killAgent(rank);
 			}
 		},
@@ -108,6 +115,6 @@
 		group.close();
 	}
 
-	deployment.record(`switches to one map on all ranks: ${switches}, processes killed: ${isKilled ? 1 : 0}, passes that began with different maps: ${group.brokenPasses.length}`);
+	deployment.record(`switches to one map on all ranks: ${switches}, processes killed: ${kills}, passes that began with different maps: ${group.brokenPasses.length}`);
 	return group.brokenPasses.length > 0;
 });
