--- a/packages/rankagent/src/coordinator.ts
+++ b/packages/rankagent/src/coordinator.ts
@@ -78,6 +78,9 @@
 /** A plan that is not in use after this time is abandoned, in ms, unless its switch has begun. */
 const PLAN_LIFETIME_MS = 4000;
 
+/** Maximum number of ranks in one log line. */
+const MAX_LOGGED_RANKS = 8;
+
 export class Coordinator {
 	static create(options: CoordinatorOptions): Coordinator {
 		return new Coordinator(options);
@@ -123,7 +126,7 @@
 		this.#logPace(states, ownState);
 		this.#expirePlan();
 		const decision = decideMapChange(states.map(({state}) => state), mayPlan ? this.#plan : undefined);
-		this.#logPhase(decision, ownState);
+		this.#logPhase(decision, states);
 		switch (decision.kind) {
 			case 'blocked': {
 				return ownState.heldStep === undefined ? RECONCILE_DELAY_MS.blocked : RECONCILE_DELAY_MS.preparing;
@@ -160,11 +163,11 @@
 	}
 
 	/** Advances the change of a failed coordinator by one action, without making new plans. Returns the delay until the next call, in ms. */
-	async takeOver(rankZero: ReachableRank): Promise<number> {
+	async takeOver({state, engine}: Omit<ReachableRank, 'isLagging'>): Promise<number> {
 		const members = this.#options.getMembers();
-		const states = [rankZero, ...await this.#readOthers(rankZero.state, [...members, {viaAgent: this.#options.localEngine, direct: this.#options.localEngine}])];
+		const states = [{state, engine, isLagging: true}, ...await this.#readOthers(state, [...members, {viaAgent: this.#options.localEngine, direct: this.#options.localEngine}])];
 		const decision = decideMapChange(states.map(({state}) => state), undefined);
-		this.#logPhase(decision, rankZero.state);
+		this.#logPhase(decision, states);
 		if (decision.kind === 'order') {
 			await Promise.all(decision.orders.map(async order => this.#sendOrder(order, states)));
 		}
@@ -173,7 +176,7 @@
 	}
 
 	async #readStates(ownState: RankState, members: readonly GroupMember[]): Promise<readonly ReachableRank[]> {
-		return [{state: ownState, engine: this.#options.localEngine}, ...await this.#readOthers(ownState, members)];
+		return [{state: ownState, engine: this.#options.localEngine, isLagging: false}, ...await this.#readOthers(ownState, members)];
 	}
 
 	/** Reads the states of the other ranks in the group of rank 0. */
@@ -186,7 +189,7 @@
 					this.#seenInOtherGroup.set(viaAgent, performance.now());
 				}
 
-				return {state: state.value, engine: viaAgent};
+				return {state: state.value, engine: viaAgent, isLagging: false};
 			}
 
 			if (rankZeroState.heldStep === undefined) {
@@ -194,7 +197,7 @@
 			}
 
 			const directState = await direct.state();
-			return directState.kind === 'ok' ? {state: directState.value, engine: direct} : undefined;
+			return directState.kind === 'ok' ? {state: directState.value, engine: direct, isLagging: true} : undefined;
 		}));
 		return others.filter((reached): reached is ReachableRank => reached?.state.group === rankZeroState.group && reached.state.rank !== rankZeroState.rank);
 	}
@@ -330,20 +333,25 @@
 		}
 	}
 
-	#logPhase(decision: MapChangeDecision, ownState: RankState): void {
+	/** @param states - States that the decision is based on, that of rank 0 first. */
+	#logPhase(decision: MapChangeDecision, states: readonly ReachableRank[]): void {
 		const phase = decision.kind === 'settled' || decision.kind === 'blocked' ? decision.kind : decision.phase;
 		if (phase === this.#lastPhase) {
 			return;
 		}
 
 		this.#lastPhase = phase;
+		const {epoch, step, map, heldStep, prepared} = states[0]!.state;
+		const lagging = states.filter(({isLagging}) => isLagging);
 		this.#options.logger.info(`map change ${phase}`, {
-			epoch: ownState.epoch,
-			step: ownState.step,
-			map: ownState.map,
-			heldStep: ownState.heldStep,
+			epoch,
+			step,
+			map,
+			heldStep,
+			prepared,
 			version: this.#plan?.version,
-			reason: decision.kind === 'blocked' ? decision.reason : undefined,
+			reason: decision.kind === 'blocked' || decision.kind === 'order' ? decision.reason : undefined,
+			lagging: lagging.length === 0 ? undefined : lagging.slice(0, MAX_LOGGED_RANKS).map(({state}) => ({rank: state.rank, prepared: state.prepared, armed: state.armed?.step})),
 		});
 	}
 }
@@ -351,8 +359,8 @@
 /** A planned map, its reduction of the skew, and its creation time in monotonic ms. */
 type Plan = MapPlan & {readonly gain: number; readonly createdAt: number};
 
-/** State of a rank and the path to its engine that gave it. */
-type ReachableRank = {readonly state: RankState; readonly engine: RankEngine};
+/** State of a rank and the path to its engine that gave it. `isLagging`: read from another machine, so some hundred ms old. */
+type ReachableRank = {readonly state: RankState; readonly engine: RankEngine; readonly isLagging: boolean};
 
 /** Up to `count` items at even distances; always the same ones of the same items. */
 function evenSample<Item>(items: readonly Item[], count: number): readonly Item[] {
--- a/packages/rankmap/src/map-change.ts
+++ b/packages/rankmap/src/map-change.ts
@@ -30,7 +30,7 @@
 		| {readonly kind: 'blocked'; readonly reason: string}
 		/** Orders are in progress. */
 		| {readonly kind: 'wait'; readonly phase: MapChangePhase}
-		| {readonly kind: 'order'; readonly phase: MapChangePhase; readonly orders: readonly RankOrder[]};
+		| {readonly kind: 'order'; readonly phase: MapChangePhase; readonly orders: readonly RankOrder[]; /** Why a hold is released. */ readonly reason?: string};
 
 export type MapChangePhase = 'preparing' | 'holding' | 'arming' | 'releasing' | 'switching';
 
@@ -96,12 +96,12 @@
 	const canSwitch = version !== undefined && version > heldRank.map && states.every(state => state.prepared === version);
 	if (!canSwitch) {
 		// Ranks are armed only after all have prepared the same version, so no arm order can be in flight.
-		return releaseHold(heldRank, step);
+		return releaseHold(heldRank, step, `no switch to map ${version}: prepared by ${states.filter(state => state.prepared === version).length} of ${states.length} ranks`);
 	}
 
 	const unarmed = states.filter(state => state.armed?.version !== version || state.armed.step !== step);
 	if (unarmed.length === 0) {
-		return releaseHold(heldRank, step);
+		return releaseHold(heldRank, step, 'all ranks are armed');
 	}
 
 	return {
@@ -111,8 +111,10 @@
 	};
 }
 
-function releaseHold(heldRank: RankState, step: number): MapChangeDecision {
-	return {kind: 'order', phase: 'releasing', orders: [createOrder(heldRank, {kind: 'go', step})]};
+function releaseHold(heldRank: RankState, step: number, reason: string): MapChangeDecision {
+	return {
+		kind: 'order', phase: 'releasing', orders: [createOrder(heldRank, {kind: 'go', step})], reason,
+	};
 }
 
 function advancePlan(plan: MapPlan, states: readonly RankState[], heldRank: RankState): MapChangeDecision {
