Complete a switch although the state of a rank read from another machine lags

Cause: while the group is held, the coordinator reads a rank without a responding agent directly. That state is some hundred ms old. It showed no prepared map, so the coordinator released the hold as 'no switch possible' after it had armed the other ranks.

Now a held group is armed and released only when all ranks are armed. That the map is prepared everywhere follows from the hold itself, since rank 0 is held only after fresh states of all ranks, and since rank 0 prepares the next map before any other rank, which voids a late hold.

--- a/packages/rankagent/src/coordinator.ts
+++ b/packages/rankagent/src/coordinator.ts
@@ -7,7 +7,7 @@
 import {PaceLog} from './pace-log.js';
 import type {Result} from '#core';
 import {
-	decideMapChange, LoadWindow, OrderMonitor, planMap, type ExpertShape, type GroupMap, type MapChangeDecision, type MapPlan, type RankCounts, type RankOrder, type RankState,
+	decideMapChange, LoadWindow, OrderMonitor, planMap, type ExpertShape, type GroupMap, type MapChangeDecision, type MapPlan, type ObservedRank, type RankCounts, type RankOrder, type RankState,
 } from '#rankmap';
 import type {Logger, Metrics} from '#telemetry';
 
@@ -125,7 +125,7 @@
 		const states = await this.#readStates(ownState, members);
 		this.#logPace(states, ownState);
 		this.#expirePlan();
-		const decision = decideMapChange(states.map(({state}) => state), mayPlan ? this.#plan : undefined);
+		const decision = decideMapChange(states.map(reached => observe(reached)), mayPlan ? this.#plan : undefined);
 		this.#logPhase(decision, states);
 		switch (decision.kind) {
 			case 'blocked': {
@@ -143,7 +143,7 @@
 					return RECONCILE_DELAY_MS.settled;
 				}
 
-				await Promise.all(decision.orders.map(async order => this.#sendOrder(order, states)));
+				await this.#sendOrders(decision, states);
 				return decision.phase === 'preparing' ? RECONCILE_DELAY_MS.preparing : RECONCILE_DELAY_MS.urgent;
 			}
 
@@ -166,10 +166,10 @@
 	async takeOver({state, engine}: Omit<ReachableRank, 'isLagging'>): Promise<number> {
 		const members = this.#options.getMembers();
 		const states = [{state, engine, isLagging: true}, ...await this.#readOthers(state, [...members, {viaAgent: this.#options.localEngine, direct: this.#options.localEngine}])];
-		const decision = decideMapChange(states.map(({state}) => state), undefined);
+		const decision = decideMapChange(states.map(reached => observe(reached)), undefined);
 		this.#logPhase(decision, states);
 		if (decision.kind === 'order') {
-			await Promise.all(decision.orders.map(async order => this.#sendOrder(order, states)));
+			await this.#sendOrders(decision, states);
 		}
 
 		return RECONCILE_DELAY_MS.preparing;
@@ -202,6 +202,14 @@
 		return others.filter((reached): reached is ReachableRank => reached?.state.group === rankZeroState.group && reached.state.rank !== rankZeroState.rank);
 	}
 
+	async #sendOrders({first, orders}: Extract<MapChangeDecision, {kind: 'order'}>, states: readonly ReachableRank[]): Promise<void> {
+		if (first !== undefined && !['begun', 'already'].includes(await this.#sendOrder(first, states))) {
+			return;
+		}
+
+		await Promise.all(orders.map(async order => this.#sendOrder(order, states)));
+	}
+
 	async #sendOrder(order: RankOrder, states: readonly ReachableRank[]): Promise<OrderResult> {
 		const result = await states.find(({state}) => state.rank === order.rank)!.engine.order(order);
 		this.#orderMonitor.record(result !== 'no-answer', performance.now());
@@ -362,6 +370,10 @@
 /** State of a rank and the path to its engine that gave it. `isLagging`: read from another machine, so some hundred ms old. */
 type ReachableRank = {readonly state: RankState; readonly engine: RankEngine; readonly isLagging: boolean};
 
+function observe({state, isLagging}: ReachableRank): ObservedRank {
+	return {...state, isLagging};
+}
+
 /** Up to `count` items at even distances; always the same ones of the same items. */
 function evenSample<Item>(items: readonly Item[], count: number): readonly Item[] {
 	const step = Math.max(1, items.length / count);
--- a/packages/rankmap/__tests__/simulated-group.ts
+++ b/packages/rankmap/__tests__/simulated-group.ts
@@ -1,5 +1,5 @@
 /** Simulated group of ranks that follows the platform's rules for orders, for tests with lost, late or duplicate orders. */
-import type {GroupMap, RankOrder, RankState} from '#rankmap';
+import type {GroupMap, ObservedRank, RankOrder} from '#rankmap';
 
 type Rank = {
 	sequence: number; map: number; content: string; highest: number; prepared: number | undefined; preparedContent: string; copying: {version: number; content: string} | undefined; armed: {version: number; step: number} | undefined; held: number | undefined;
@@ -32,10 +32,10 @@
 		this.#reset();
 	}
 
-	state(rank: number): RankState {
+	state(rank: number): ObservedRank {
 		const {sequence, map, prepared, armed, held, copying} = this.#ranks[rank]!;
 		return {
-			group: 'g', epoch: this.epoch, rank, isOpen: true, size: this.#size, sequence, step: this.step, map, prepared, armed, heldStep: held, pace: 1, running: 0, queued: 0, isBusy: copying !== undefined,
+			group: 'g', epoch: this.epoch, rank, isOpen: true, size: this.#size, sequence, step: this.step, map, prepared, armed, heldStep: held, pace: 1, running: 0, queued: 0, isBusy: copying !== undefined, isLagging: false,
 		};
 	}
 
--- a/packages/rankmap/__tests__/unit/map-change.fuzz.test.ts
+++ b/packages/rankmap/__tests__/unit/map-change.fuzz.test.ts
@@ -1,12 +1,13 @@
 /**
  * Changes of a group's map while orders are lost, late and duplicated, states are read one after the other, the
- * coordinator dies or freezes at any point, ranks crash, and the group has work or is idle.
+ * coordinator dies or freezes at any point, agents of ranks are down so that their ranks are read with a lag, ranks
+ * crash, and the group has work or is idle. Guards against passes with two maps.
  */
 import fc from 'fast-check';
 import t from 'tap';
-import {SimulatedGroup} from '../simulated-group.js';
+import {SimulatedGroup, type OrderResult} from '../simulated-group.js';
 import {
-	decideMapChange, type MapPlan, type RankOrder, type RankState,
+	decideMapChange, type MapPlan, type ObservedRank, type RankOrder,
 } from '#rankmap';
 import {fuzzParameters} from '#tooling';
 
@@ -18,6 +19,12 @@
 /** Maximum coordinator turns, after the faults have ended, until no step is held. */
 const RECOVERY_TURNS = 40;
 
+/** Longest time by which a reading from another machine lags, in steps of a case. */
+const MAX_LAG_STEPS = 40;
+
+/** Longest time for which an agent is down, in steps of a case. */
+const MAX_DOWN_STEPS = 80;
+
 /** Supplies the decisions of the fault model from the numbers of the case. */
 class RandomSource {
 	#at = 0;
@@ -34,17 +41,58 @@
 	}
 }
 
+/** The states of a group's ranks, now and some steps ago, and the agents that are down. */
+class Observer {
+	readonly #history: ObservedRank[][] = [];
+	readonly #downUntil = new Map<number, number>();
+	readonly #group: SimulatedGroup;
+	readonly #random: RandomSource;
+
+	constructor(group: SimulatedGroup, random: RandomSource) {
+		this.#group = group;
+		this.#random = random;
+	}
+
+	/** Notes the states at the begin of a step. */
+	record(): void {
+		this.#history.push(Array.from({length: SIZE}, (_, rank) => this.#group.state(rank)));
+	}
+
+	stopAgent(rank: number): void {
+		this.#downUntil.set(rank, this.#history.length + this.#random.next(MAX_DOWN_STEPS));
+	}
+
+	startAgents(): void {
+		this.#downUntil.clear();
+	}
+
+	isDown(rank: number): boolean {
+		return (this.#downUntil.get(rank) ?? 0) > this.#history.length;
+	}
+
+	fresh(rank: number): ObservedRank {
+		return this.#group.state(rank);
+	}
+
+	lagging(rank: number): ObservedRank {
+		const recorded = this.#history.at(-1 - this.#random.next(MAX_LAG_STEPS)) ?? this.#history[0]!;
+		return {...recorded[rank]!, isLagging: true};
+	}
+}
+
 class Coordinator {
 	plan: MapPlan | undefined;
 	/** States read so far in this turn; the group may proceed between two reads. */
-	states: RankState[] = [];
+	states: ObservedRank[] = [];
 	pending: RankOrder[] = [];
-	readonly #group: SimulatedGroup;
+	/** Orders that are sent only after the one before them has been executed. */
+	#gated: readonly RankOrder[] = [];
+	readonly #observer: Observer;
 	readonly #allocateVersion: (() => number) | undefined;
 
 	/** @param allocateVersion - Undefined for a coordinator that only completes changes begun by another. */
-	constructor(group: SimulatedGroup, allocateVersion: (() => number) | undefined) {
-		this.#group = group;
+	constructor(observer: Observer, allocateVersion: (() => number) | undefined) {
+		this.#observer = observer;
 		this.#allocateVersion = allocateVersion;
 	}
 
@@ -56,7 +104,7 @@
 		}
 
 		if (this.states.length < SIZE) {
-			this.states.push(this.#group.state(this.states.length));
+			this.#read(this.states.length);
 			return undefined;
 		}
 
@@ -66,15 +114,35 @@
 			const version = this.#allocateVersion();
 			this.plan = {version, map: [[[version]]]};
 		} else if (decision.kind === 'order') {
-			this.pending = [...decision.orders];
+			this.pending = decision.first === undefined ? [...decision.orders] : [decision.first];
+			this.#gated = decision.first === undefined ? [] : decision.orders;
 		}
 
 		return undefined;
 	}
+
+	/** Takes the result of an order; undefined if it got no response. */
+	noteResult(result: OrderResult | undefined): void {
+		if (this.#gated.length > 0) {
+			this.pending = result === 200 || result === 202 ? [...this.#gated] : [];
+			this.#gated = [];
+		}
+	}
+
+	/** Reads a rank; without its agent only while the group is held, and with a lag. A coordinator that stands in for that of rank 0 reads rank 0 with a lag. */
+	#read(rank: number): void {
+		const isRemote = rank === 0 ? this.#allocateVersion === undefined : this.#observer.isDown(rank);
+		if (isRemote && rank > 0 && this.states[0]!.heldStep === undefined) {
+			this.states = [];
+			return;
+		}
+
+		this.states.push(isRemote ? this.#observer.lagging(rank) : this.#observer.fresh(rank));
+	}
 }
 
 /** Runs one case; returns the number of switches. */
-function runCase(numbers: readonly number[], faults: {readonly late: number; readonly death: number; readonly crash: number; readonly secondCoordinator: number}): number {
+function runCase(numbers: readonly number[], faults: {readonly late: number; readonly death: number; readonly crash: number; readonly secondCoordinator: number; readonly agentDown: number}): number {
 	const random = new RandomSource(numbers);
 	const group = SimulatedGroup.create(SIZE);
 	let version = 0;
@@ -83,13 +151,16 @@
 		return version;
 	};
 
-	let coordinator = new Coordinator(group, allocateVersion);
-	const secondCoordinator = new Coordinator(group, undefined);
+	const observer = new Observer(group, random);
+	let coordinator = new Coordinator(observer, allocateVersion);
+	const secondCoordinator = new Coordinator(observer, undefined);
 	const late: RankOrder[] = [];
 	for (let i = 0; i < STEPS; i += 1) {
-		const order = (random.next(100) < faults.secondCoordinator ? secondCoordinator : coordinator).act();
+		observer.record();
+		const acting = random.next(100) < faults.secondCoordinator ? secondCoordinator : coordinator;
+		const order = acting.act();
 		if (order !== undefined) {
-			send(order, group, late, random, faults.late);
+			acting.noteResult(send(order, group, late, random, faults.late));
 		}
 
 		if (late.length > 0 && random.next(12) === 0) {
@@ -102,38 +173,43 @@
 		}
 
 		if (random.next(1000) < faults.death) {
-			coordinator = new Coordinator(group, allocateVersion);
+			coordinator = new Coordinator(observer, allocateVersion);
 		}
 
 		if (random.next(1000) < faults.crash) {
 			group.reform();
 		}
+
+		if (random.next(1000) < faults.agentDown) {
+			observer.stopAgent(1 + random.next(SIZE - 1));
+		}
 	}
 
+	observer.startAgents();
 	recover(group, coordinator, late);
 	return group.switches;
 }
 
-/** Sends an order, which arrives once, twice, late or never. */
-function send(order: RankOrder, group: SimulatedGroup, late: RankOrder[], random: RandomSource, lateShare: number): void {
+/** Sends an order, which arrives once, twice, late or never. Returns its result; undefined if there is no response. */
+function send(order: RankOrder, group: SimulatedGroup, late: RankOrder[], random: RandomSource, lateShare: number): OrderResult | undefined {
 	if (random.next(100) >= lateShare) {
-		group.execute(order);
-		return;
+		return group.execute(order);
 	}
 
 	switch (random.next(3)) {
 		case 0: {
 			late.push(order);
-			return;
+			return undefined;
 		}
 
 		case 1: {
-			group.execute(order);
 			late.push(order);
-			break;
+			return group.execute(order);
 		}
 
-		default:
+		default: {
+			return undefined;
+		}
 	}
 }
 
@@ -146,7 +222,7 @@
 	for (let turn = 0; turn < RECOVERY_TURNS * (SIZE * 2); turn += 1) {
 		const order = coordinator.act();
 		if (order !== undefined) {
-			group.execute(order);
+			coordinator.noteResult(group.execute(order));
 		}
 
 		for (let rank = 0; rank < SIZE; rank += 1) {
@@ -160,7 +236,7 @@
 		for (let turn = 0; turn < 4 * SIZE; turn += 1) {
 			const order = coordinator.act();
 			if (order !== undefined) {
-				group.execute(order);
+				coordinator.noteResult(group.execute(order));
 			}
 		}
 	}
@@ -172,19 +248,25 @@
 
 const faultMixes = [
 	{
-		name: 'no faults', late: 0, death: 0, crash: 0, secondCoordinator: 0,
+		name: 'no faults', late: 0, death: 0, crash: 0, secondCoordinator: 0, agentDown: 0,
+	},
+	{
+		name: 'orders lost, late and duplicated', late: 40, death: 0, crash: 0, secondCoordinator: 0, agentDown: 0,
+	},
+	{
+		name: 'and coordinator crashes', late: 40, death: 30, crash: 0, secondCoordinator: 0, agentDown: 0,
 	},
 	{
-		name: 'orders lost, late and duplicated', late: 40, death: 0, crash: 0, secondCoordinator: 0,
+		name: 'and rank crashes', late: 30, death: 20, crash: 8, secondCoordinator: 0, agentDown: 0,
 	},
 	{
-		name: 'and coordinator crashes', late: 40, death: 30, crash: 0, secondCoordinator: 0,
+		name: 'and a second coordinator that acts concurrently', late: 30, death: 20, crash: 4, secondCoordinator: 40, agentDown: 0,
 	},
 	{
-		name: 'and rank crashes', late: 30, death: 20, crash: 8, secondCoordinator: 0,
+		name: 'agents that are down while a switch is in progress', late: 0, death: 0, crash: 0, secondCoordinator: 0, agentDown: 30,
 	},
 	{
-		name: 'and a second coordinator that acts concurrently', late: 30, death: 20, crash: 4, secondCoordinator: 40,
+		name: 'all of these', late: 30, death: 20, crash: 4, secondCoordinator: 30, agentDown: 30,
 	},
 ];
 
--- a/packages/rankmap/src/index.ts
+++ b/packages/rankmap/src/index.ts
@@ -1,6 +1,6 @@
 /** Public index: decisions about the expert maps of groups whose ranks switch at a given step without comparing maps. Pure functions and classes. */
 export type {
-	ExpertShape, GroupMap, RankExperts, RankOrder, RankState,
+	ExpertShape, GroupMap, ObservedRank, RankExperts, RankOrder, RankState,
 } from './types.js';
 export {
 	decideMapChange, type MapChangeDecision, type MapChangePhase, type MapPlan,
--- a/packages/rankmap/src/map-change.ts
+++ b/packages/rankmap/src/map-change.ts
@@ -1,19 +1,24 @@
 /**
- * Decides the next orders in a change of a group's expert map, from fresh states of all ranks.
+ * Decides the next orders in a change of a group's expert map from the states of all ranks.
  *
  * Ranks neither compare maps nor fence orders, and an unanswered order may take effect seconds later.
- * Three invariants ensure that all ranks use the same map in every step:
+ * These invariants ensure that all ranks use the same map in every step:
  *
  * - Rank 0 is held at the step of the switch before any rank is armed, and released only after all
  *   ranks have been read back as armed for exactly that step.
- * - Once arming has begun, the change is always completed and never rolled back: a late arm order is then
+ * - Rank 0 is held only after all ranks have been read as prepared, and gets the order to prepare another map before
+ *   any other rank does, which voids an unanswered hold. So while it is held for a map, all ranks have that map, even if
+ *   a lagging state does not show it yet.
+ * - Once arming may have begun, the change is always completed and never rolled back: a late arm order is then
  *   either a repetition or arrives after its step has begun, when the rank refuses it.
  * - A version is never used for two maps.
  *
  * The decision is stateless: a new coordinator continues from the rank states alone, and
  * concurrent coordinators only repeat each other's orders.
  */
-import type {GroupMap, RankOrder, RankState} from './types.js';
+import type {
+	GroupMap, ObservedRank, RankOrder, RankState,
+} from './types.js';
 
 /** A map to put into use. */
 export type MapPlan = {
@@ -30,7 +35,15 @@
 		| {readonly kind: 'blocked'; readonly reason: string}
 		/** Orders are in progress. */
 		| {readonly kind: 'wait'; readonly phase: MapChangePhase}
-		| {readonly kind: 'order'; readonly phase: MapChangePhase; readonly orders: readonly RankOrder[]; /** Why a hold is released. */ readonly reason?: string};
+		| {
+			readonly kind: 'order';
+			readonly phase: MapChangePhase;
+			/** The other orders are sent only after this one has been executed. */
+			readonly first?: RankOrder | undefined;
+			readonly orders: readonly RankOrder[];
+			/** Why a hold is released. */
+			readonly reason?: string;
+		};
 
 export type MapChangePhase = 'preparing' | 'holding' | 'arming' | 'releasing' | 'switching';
 
@@ -46,10 +59,10 @@
 /**
  * Decides the next action of a map change.
  *
- * @param states - One fresh state of each rank, in any order.
+ * @param states - One state of each rank, in any order. None may be lagging unless rank 0 is held.
  * @param plan - Map to put into use; undefined to only complete a change in progress.
  */
-export function decideMapChange(states: readonly RankState[], plan: MapPlan | undefined): MapChangeDecision {
+export function decideMapChange(states: readonly ObservedRank[], plan: MapPlan | undefined): MapChangeDecision {
 	const problem = findProblem(states);
 	if (problem !== undefined) {
 		return {kind: 'blocked', reason: problem};
@@ -90,13 +103,11 @@
 	return states.every(state => state.isOpen) ? undefined : 'the group is not open';
 }
 
-/** Releases a held group only if all ranks are armed for the held step, or if none can be armed. */
-function decideWhileHeld(states: readonly RankState[], heldRank: RankState, step: number): MapChangeDecision {
+/** Arms all ranks of a held group, and releases it once all are armed for the held step. */
+function decideWhileHeld(states: readonly ObservedRank[], heldRank: RankState, step: number): MapChangeDecision {
 	const version = heldRank.prepared;
-	const canSwitch = version !== undefined && version > heldRank.map && states.every(state => state.prepared === version);
-	if (!canSwitch) {
-		// Ranks are armed only after all have prepared the same version, so no arm order can be in flight.
-		return releaseHold(heldRank, step, `no switch to map ${version}: prepared by ${states.filter(state => state.prepared === version).length} of ${states.length} ranks`);
+	if (version === undefined || version <= heldRank.map) {
+		return releaseHold(heldRank, step, 'rank 0 has prepared no map');
 	}
 
 	const unarmed = states.filter(state => state.armed?.version !== version || state.armed.step !== step);
@@ -104,6 +115,10 @@
 		return releaseHold(heldRank, step, 'all ranks are armed');
 	}
 
+	if (isSwitchImpossible(states, version, step)) {
+		return releaseHold(heldRank, step, `map ${version} is prepared by ${states.filter(state => state.prepared === version).length} of ${states.length} ranks`);
+	}
+
 	return {
 		kind: 'order',
 		phase: 'arming',
@@ -111,6 +126,11 @@
 	};
 }
 
+/** Whether a rank certainly lacks the map and none is armed: the hold then comes from a coordinator of an earlier version, and no arm order was sent. */
+function isSwitchImpossible(states: readonly ObservedRank[], version: number, step: number): boolean {
+	return states.every(({isLagging, armed}) => !isLagging && armed?.step !== step) && states.some(({prepared}) => prepared !== version);
+}
+
 function releaseHold(heldRank: RankState, step: number, reason: string): MapChangeDecision {
 	return {
 		kind: 'order', phase: 'releasing', orders: [createOrder(heldRank, {kind: 'go', step})], reason,
@@ -129,7 +149,13 @@
 	}
 
 	const {version, map} = plan;
-	return {kind: 'order', phase: 'preparing', orders: idle.map(state => createOrder(state, {kind: 'prepare', version, map}))};
+	const prepare = (state: RankState) => createOrder(state, {kind: 'prepare', version, map});
+	return {
+		kind: 'order',
+		phase: 'preparing',
+		first: idle.includes(heldRank) ? prepare(heldRank) : undefined,
+		orders: idle.filter(state => state !== heldRank).map(state => prepare(state)),
+	};
 }
 
 function createOrder(state: RankState, action: RankOrder['action']): RankOrder {
--- a/packages/rankmap/src/types.ts
+++ b/packages/rankmap/src/types.ts
@@ -49,6 +49,12 @@
 	readonly isBusy: boolean;
 };
 
+/** A state as a coordinator has it. */
+export type ObservedRank = RankState & {
+	/** Whether it was read from another machine and is some hundred ms old: what it shows has happened, what it lacks may have happened since. */
+	readonly isLagging: boolean;
+};
+
 /** An order to a rank. */
 export type RankOrder = {
 	readonly rank: number;
