--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,5 @@
 /** Public API: kernel, commands, invariants, errors, findings and results. */
-export {splitAddress, type Address} from './address.js';
+export {parseAddress, splitAddress, type Address} from './address.js';
 export {
 	BaseError, InputError, InvariantError, UnavailableError,
 } from './errors.js';
--- a/packages/gateway/src/connection-pool.ts
+++ b/packages/gateway/src/connection-pool.ts
@@ -110,7 +110,14 @@
 }
 
 async function openConnection(address: string, timeoutMs: number): Promise<AcquiredConnection> {
-	const socket = connect({...splitAddress(address), noDelay: true});
+	let socket: Socket;
+	try {
+		socket = connect({...splitAddress(address), noDelay: true});
+	} catch (error) {
+		// Another entry may pass on an address that it did not check.
+		return {kind: 'failed', reason: (error as NodeJS.ErrnoException).code ?? 'invalid address'};
+	}
+
 	return new Promise(resolve => {
 		const finish = (result: AcquiredConnection) => {
 			clearTimeout(timeoutTimer);
--- a/packages/links/src/request-client.ts
+++ b/packages/links/src/request-client.ts
@@ -31,7 +31,13 @@
 	/** Sends a request. Fails with the reason if no response arrives in time; the server may have handled the request nevertheless. */
 	async request(request: unknown, timeoutMs: number): Promise<Result<unknown, string>> {
 		const id = this.#nextId++;
-		const socket = this.#connect();
+		let socket: WebSocket;
+		try {
+			socket = this.#connect();
+		} catch (error) {
+			return failed((error as Error).message);
+		}
+
 		return new Promise(resolve => {
 			const settle: Settle = result => {
 				clearTimeout(timer);
