--- a/packages/gateway/src/registry.ts
+++ b/packages/gateway/src/registry.ts
@@ -20,7 +20,7 @@
 export type Registry = {
 	/** Reads the newest configuration; undefined if there is none. Linearizable. */
 	readonly readConfig: (signal: AbortSignal) => Promise<RegistryResult<FleetConfig | undefined>>;
-	/** Lists all endpoints with the revision of the registry. Linearizable. */
+	/** Lists all endpoints with a revision from which a watch misses none of their changes. Linearizable. */
 	readonly listEndpoints: (signal: AbortSignal) => Promise<RegistryResult<{readonly records: readonly EndpointRecord[]; readonly revision: number}>>;
 	/** Waits up to `waitMs` for changes after a revision. */
 	readonly watchEndpoints: (revision: number, waitMs: number, signal: AbortSignal) => Promise<RegistryResult<{readonly changes: readonly EndpointChange[]; readonly revision: number}>>;
