Remember removals of servers, so that an older list of another entry brings none back

While an entry cannot read the registry it takes the list of another entry, which may not have seen the removal, and used the server again.

Cause: only servers seen as draining left a trace; a removal left none. Now the revision of a removal is kept (4096 at most), and no registration that is not newer brings the server back. A list does not remove registrations that are newer than it.

--- a/packages/dispatch/__tests__/unit/endpoint-directory.test.ts
+++ b/packages/dispatch/__tests__/unit/endpoint-directory.test.ts
@@ -59,6 +59,77 @@
 		at: 0,
 		usable: ['a'],
 	},
+	// The next ones guard against requests to an endpoint that this entry has seen leave.
+	{
+		name: 'the listing of a peer that has not seen a removal does not bring the endpoint back',
+		steps: [d => {
+			d.replaceAll([record('a'), record('b')], 0, 4);
+		}, d => {
+			d.remove('a', 5, 1);
+		}, d => {
+			d.replaceAll([record('a'), record('b')], 2);
+		}],
+		at: 2,
+		usable: ['b'],
+	},
+	{
+		name: 'nor after a removal that a list showed',
+		steps: [d => {
+			d.replaceAll([record('a'), record('b')], 0, 4);
+		}, d => {
+			d.replaceAll([record('b')], 1, 6);
+		}, d => {
+			d.replaceAll([record('a', {revision: 3}), record('b')], 2);
+		}],
+		at: 2,
+		usable: ['b'],
+	},
+	{
+		name: 'nor after the removal of an endpoint that was not known',
+		steps: [d => {
+			d.remove('a', 5, 0);
+		}, d => {
+			d.put(record('a'));
+		}],
+		at: 0,
+		usable: [],
+	},
+	{
+		name: 'the same process registers again after its removal',
+		steps: [d => {
+			d.put(record('a'));
+		}, d => {
+			d.remove('a', 5, 0);
+		}, d => {
+			d.put(record('a', {revision: 8}));
+		}],
+		at: 0,
+		usable: ['a'],
+	},
+	{
+		name: 'a list does not remove a registration that is newer',
+		steps: [d => {
+			d.put(record('a', {revision: 9}));
+		}, d => {
+			d.replaceAll([record('b')], 0, 4);
+		}, d => {
+			d.put(record('a', {revision: 9}));
+		}],
+		at: 0,
+		usable: ['a', 'b'],
+	},
+	{
+		name: 'an endpoint that a peer does not list yet is usable when the registry lists it',
+		steps: [d => {
+			d.put(record('a', {revision: 9}));
+		}, d => {
+			d.replaceAll([record('b')], 0);
+		}, d => {
+			d.replaceAll([record('a', {revision: 9}), record('b')], 0, 9);
+		}],
+		at: 0,
+		usable: ['b', 'a'],
+	},
 	{
 		name: 'tombstone from a peer',
 		steps: [d => {
--- a/packages/dispatch/src/endpoint-directory.ts
+++ b/packages/dispatch/src/endpoint-directory.ts
@@ -38,6 +38,9 @@
 /** Grace period for expired registrations to be renewed once the registry is reachable again, in ms (the platform's contract bounds it at about 2 s). */
 export const EXPIRY_GRACE_MS = 2000;
 
+/** Number of removals that are remembered: those of the seconds for which another entry may still list the endpoint, many times over. */
+const MAX_REMOVALS = 4096;
+
 type KnownEndpoint = {record: EndpointRecord; expiresAt: number | undefined};
 
 export class EndpointDirectory {
@@ -49,6 +52,8 @@
 	readonly #endpoints = new Map<string, KnownEndpoint>();
 	/** Processes seen leaving; a stale read must not bring them back. */
 	readonly #tombstones = new Map<string, {startedAt: number | undefined; revision: number}>();
+	/** Revisions at which registrations were removed, oldest first. */
+	readonly #removals = new Map<string, number>();
 	readonly #listeners = new Set<(change: DirectoryChange) => void>();
 	#isRegistryUnreachable = false;
 	#graceUntil = Number.NEGATIVE_INFINITY;
@@ -99,8 +104,12 @@
 		}
 	}
 
-	/** Applies a complete listing of the registry, read at `now` (monotonic ms). */
-	replaceAll(records: readonly EndpointRecord[], now: number): void {
+	/**
+	 * Applies a complete listing, read at `now` (monotonic ms).
+	 *
+	 * @param revision - Revision of the registry that the listing shows at least; undefined for the listing of a peer.
+	 */
+	replaceAll(records: readonly EndpointRecord[], now: number, revision?: number): void {
 		const present = new Set(records.map(record => record.id));
 		for (const record of records) {
 			this.put(record);
@@ -108,7 +117,7 @@
 
 		for (const id of this.#endpoints.keys()) {
 			if (!present.has(id)) {
-				this.remove(id, undefined, now);
+				this.remove(id, revision, now);
 			}
 		}
 	}
@@ -121,7 +130,7 @@
 		}
 
 		const known = this.#endpoints.get(record.id);
-		if (known !== undefined && record.revision < known.record.revision) {
+		if ((known !== undefined && record.revision < known.record.revision) || record.revision <= (this.#removals.get(record.id) ?? Number.NEGATIVE_INFINITY)) {
 			return;
 		}
 
@@ -146,10 +155,22 @@
 		}
 	}
 
-	/** Applies the removal of a registration, read at `now` (monotonic ms). */
+	/**
+	 * Applies the removal of a registration, read at `now` (monotonic ms).
+	 *
+	 * @param revision - Older registrations do not bring the endpoint back; undefined if a peer no longer lists it.
+	 */
 	remove(id: string, revision: number | undefined, now: number): void {
 		const known = this.#endpoints.get(id);
-		if (known === undefined || (revision !== undefined && revision < known.record.revision)) {
+		if (known !== undefined && revision !== undefined && revision < known.record.revision) {
+			return;
+		}
+
+		if (revision !== undefined) {
+			this.#noteRemoval(id, revision);
+		}
+
+		if (known === undefined) {
 			return;
 		}
 
@@ -199,6 +220,15 @@
 		return [...this.#endpoints.values()].map(({record}) => record);
 	}
 
+	#noteRemoval(id: string, revision: number): void {
+		const latest = Math.max(revision, this.#removals.get(id) ?? revision);
+		this.#removals.delete(id);
+		this.#removals.set(id, latest);
+		if (this.#removals.size > MAX_REMOVALS) {
+			this.#removals.delete(this.#removals.keys().next().value!);
+		}
+	}
+
 	#notify(record: EndpointRecord, change: DirectoryChange['change']): void {
 		for (const listener of this.#listeners) {
 			listener({id: record.id, service: record.service, change});
--- a/packages/gateway/src/registry.ts
+++ b/packages/gateway/src/registry.ts
@@ -103,7 +103,7 @@
 			status.update(result);
 			noteRegistryReachability(directory, result, now().monotonicMs);
 			if (result.kind === 'answered') {
-				directory.replaceAll(result.value.records, now().monotonicMs);
+				directory.replaceAll(result.value.records, now().monotonicMs, result.value.revision);
 				({revision} = result.value);
 			} else {
 				await sleep(RETRY_DELAY_MS, signal);
