Don't close connections whose response is not written out yet when an entry stops

A caller that reads slowly lost the rest of its response in a planned stop: of four pipelined responses of 6 MB it got one.

Cause: Node takes a connection as idle as soon as its response is ended. Idle connections are now closed only while no ended response is waiting to be written, and the server's own close, which does the same, is replaced by that of the socket server.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -4,7 +4,10 @@
  */
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
-import {createServer, type IncomingMessage, type Server} from 'node:http';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {Server as NetServer} from 'node:net';
 import {CallerResponse} from './caller-response.js';
 import type {Dialect} from './dialect.js';
 import {RequestHandler, type RequestHandlerContext} from './request-handler.js';
@@ -42,15 +45,15 @@
 
 	readonly #server: Server;
 	#isDraining = false;
-	#openRequests = 0;
+	readonly #openResponses = new Set<ServerResponse>();
 	readonly #options: CallerServerOptions;
 
 	private constructor(options: CallerServerOptions) {
 		this.#options = options;
 		this.#server = createServer({maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS, noDelay: true}, (req, res) => {
-			this.#openRequests += 1;
+			this.#openResponses.add(res);
 			res.once('close', () => {
-				this.#openRequests -= 1;
+				this.#openResponses.delete(res);
 			});
 			const callerResponse = CallerResponse.create(res, () => this.#isDraining);
 			this.#serve(req, callerResponse).catch((error: unknown) => {
@@ -71,7 +74,7 @@
 
 	/** Number of requests that are being read or handled. */
 	get openRequests(): number {
-		return this.#openRequests;
+		return this.#openResponses.size;
 	}
 
 	/** Applies the idle timeout of a configuration, in ms. */
@@ -86,12 +89,16 @@
 
 	/** Stops accepting connections and closes idle ones; requests in progress continue. */
 	stopListening(): void {
-		this.#server.close();
-		this.#server.closeIdleConnections();
+		// The HTTP server's own method would also close connections whose response is not written out yet.
+		NetServer.prototype.close.call(this.#server);
+		this.closeIdleConnections();
 	}
 
+	/** Closes idle connections, unless a response is not written out yet: Node takes its connection as idle. */
 	closeIdleConnections(): void {
-		this.#server.closeIdleConnections();
+		if ([...this.#openResponses].every(({writableEnded}) => !writableEnded)) {
+			this.#server.closeIdleConnections();
+		}
 	}
 
 	async #listen(): Promise<void> {
