Answer every request before a stopping entry ends, and stop once however often it is asked

Cause: stop returned at once when called again, and the program exits when it returns; requests kept their own timeouts whatever was left of the grace period. Both lie in the same method, so they are changed together.

Now a stop is one promise; the time of each request ends 400 ms before the process would be killed, with 504; a request that is complete after callers have been sent elsewhere is taken only if its own time ends before, else refused at once as not run. A stream without an event that runs out of time gets 504 too, where its connection was only closed.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -40,6 +40,8 @@
 	/** Checked again just before the request is sent; if false, it is not sent. */
 	readonly maySend: () => boolean;
 	readonly callerDisconnected: AbortSignal;
+	/** Aborts when the requests of a stopping entry have to end. */
+	readonly requestsEnded: AbortSignal;
 	/** Called just before the first byte of the request is sent. */
 	readonly onSending: () => void;
 	/** Called with the head of the endpoint's response to this request. */
@@ -81,18 +83,22 @@
 type SentAttempt = AttemptInput & {readonly isReusedConnection: boolean};
 
 async function awaitResponse(input: SentAttempt, exchange: Exchange, dialect: Dialect): Promise<AttemptResult> {
-	const {callerDisconnected} = input;
+	const {callerDisconnected, requestsEnded} = input;
 	return new Promise((resolve, reject) => {
 		const finish = (result: AttemptResult) => {
 			clearTimeout(timer);
 			callerDisconnected.removeEventListener('abort', onDisconnect);
+			requestsEnded.removeEventListener('abort', onSilent);
 			resolve(result);
 		};
 
-		const timer = setTimeout(() => {
+		const onSilent = () => {
 			finish({kind: 'silent'});
 			exchange.abort();
-		}, Math.max(0, input.responseTimeoutMs));
+		};
+
+		const timer = setTimeout(onSilent, Math.max(0, input.responseTimeoutMs));
+		requestsEnded.addEventListener('abort', onSilent, {once: true});
 		const onDisconnect = () => {
 			finish({kind: 'caller-left'});
 			exchange.abort();
@@ -102,6 +108,7 @@
 		void readResponse(input, exchange, dialect).then(finish, (error: unknown) => {
 			clearTimeout(timer);
 			callerDisconnected.removeEventListener('abort', onDisconnect);
+			requestsEnded.removeEventListener('abort', onSilent);
 			exchange.abort();
 			reject(error);
 		});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,6 +12,7 @@
 	syncConfig, syncEndpoints, type EntryState, type Registry,
 } from './registry.js';
 import type {RequestHandlerContext} from './request-handler.js';
+import {Shutdown} from './shutdown.js';
 import {serveStatus, type StatusResponse} from './status-server.js';
 import {RetryBudget} from '#coordination';
 import {
@@ -58,11 +59,8 @@
 /** Share of further entries, on top of those that an entry has seen, for which a part of the slack is left. */
 const SPARE_ENTRIES_SHARE = 0.25;
 
-/** Time for which a stopping entry still accepts connections, in ms: the load balancer checks once a second and removes an entry after two failed checks. */
-const DEREGISTRATION_DELAY_MS = 2600;
-
 /** Stopping ends this long before the process would be killed, in ms. */
-const STOP_MARGIN_MS = 400;
+const STOP_MARGIN_MS = 150;
 
 /** Interval at which a stopping entry checks whether all requests have ended, in ms. */
 const STOP_POLL_MS = 50;
@@ -96,17 +94,19 @@
 	readonly #events: EntryEventLog;
 	readonly #context: RequestHandlerContext;
 	readonly #stop = new AbortController();
+	readonly #shutdown: Shutdown;
+	#stopped: Promise<void> | undefined;
 	readonly #budgets = new Map<string, RetryBudget>();
 	readonly #capacities = new Map<string, StreamCapacity>();
 	readonly #slackShare = SlackShare.create();
 	#callerServer: CallerServer | undefined;
 	#peerExchange: PeerExchange | undefined;
-	#isStopping = false;
 	readonly #options: GatewayOptions;
 
 	private constructor(options: GatewayOptions) {
 		this.#options = options;
 		const monotonicNow = () => performance.now();
+		this.#shutdown = Shutdown.create(options.graceMs, monotonicNow);
 		this.#events = EntryEventLog.create(options.logger, options.metrics, monotonicNow);
 		const pool = ConnectionPool.create(monotonicNow, this.#stop.signal);
 		const announce = () => {
@@ -144,6 +144,7 @@
 			}, this.#stop.signal),
 			budgetOf: service => this.#budgetOf(service),
 			capacityOf: service => this.#capacityOf(service),
+			shutdown: this.#shutdown,
 			keyTrustMs: options.keyTrustMs,
 			now: readInstant,
 			random: Math.random,
@@ -156,20 +157,24 @@
 
 	/** Whether the load balancer should send new connections here. */
 	get isReady(): boolean {
-		return !this.#isStopping && this.config.current !== undefined && keysAreTrusted(this.#context) && this.directory.size > 0;
+		return !this.#shutdown.hasBegun && this.config.current !== undefined && keysAreTrusted(this.#context) && this.directory.size > 0;
 	}
 
-	/** Stops gracefully: waits for removal from the load balancer and for open requests, then closes. Settles when nothing is open or the grace period is over. */
+	/**
+	 * Stops gracefully: waits for removal from the load balancer and for open requests, then closes. Settles when nothing is open or
+	 * the grace period is over, for each call alike.
+	 */
 	async stop(): Promise<void> {
-		if (this.#isStopping) {
-			return;
-		}
+		this.#stopped ??= this.#stopOnce();
+		return this.#stopped;
+	}
 
-		this.#isStopping = true;
+	async #stopOnce(): Promise<void> {
+		this.#shutdown.begin();
 		const startedAt = performance.now();
 		this.#events.record({kind: 'lifecycle', step: 'stopping', detail: {openRequests: this.#callerServer?.openRequests}});
 		this.#callerServer?.startDraining();
-		await sleep(Math.min(DEREGISTRATION_DELAY_MS, this.#options.graceMs / 2));
+		await sleep(this.#shutdown.deregistrationDelayMs);
 		this.#callerServer?.stopListening();
 		while ((this.#callerServer?.openRequests ?? 0) > 0 && performance.now() - startedAt < this.#options.graceMs - STOP_MARGIN_MS) {
 			// A response that began before the stop did not announce that its connection closes.
--- a/packages/gateway/src/refusals.ts
+++ b/packages/gateway/src/refusals.ts
@@ -32,6 +32,8 @@
 		| 'timeout'
 	/** The request was sent and its outcome is unknown. */
 		| 'unknown-outcome'
+	/** The entry is being stopped, and the request might not end before. */
+		| 'stopping'
 	/** This entry failed before the request was sent. */
 		| 'internal-error';
 
@@ -64,6 +66,7 @@
 	'timeout-before-sent': 503,
 	timeout: 504,
 	'unknown-outcome': 502,
+	stopping: 503,
 	'internal-error': 503,
 };
 
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -14,6 +14,7 @@
 import type {LimitGuard} from './limit-guard.js';
 import {refusalOf, retryAfterSeconds, type RefusalReason} from './refusals.js';
 import {relayStream, type RelayInput, type RelayResult} from './stream-relay.js';
+import type {Shutdown} from './shutdown.js';
 import type {RetryBudget} from '#coordination';
 import {
 	chooseEndpoint, effectivePriority, elapsedMs, isLate, LATE_SLOT_SHARE, maxInFlightFor, queueLimitFor, streamPatienceMs, type AttemptOutcome, type EndpointDirectory, type EndpointHealth, type EndpointRecord, type Instant, type LoadTracker,
@@ -32,6 +33,7 @@
 	readonly events: EntryEventLog;
 	readonly groups: GroupMonitor;
 	readonly crashGuard: CrashGuard;
+	readonly shutdown: Shutdown;
 	/** Retry budget of this entry for a service. */
 	readonly budgetOf: (service: string) => RetryBudget;
 	/** Capacity of a service for streams, as this entry sees it. */
@@ -169,6 +171,10 @@
 				return this.#failTimedOut();
 			}
 
+			if (this.#attempts === 0 && !this.#context.shutdown.mayTake(this.#callTimeMs(route))) {
+				return this.#fail('stopping');
+			}
+
 			if (!await this.#awaitRunningGroup(route)) {
 				return this.#fail('group-stopped');
 			}
@@ -197,7 +203,7 @@
 
 	/** Waits for a stopped group, but no longer than the caller would. Returns whether it runs. */
 	async #awaitRunningGroup(route: Route): Promise<boolean> {
-		const {groups, load} = this.#context;
+		const {groups, load, shutdown} = this.#context;
 		if (!groups.isStopped(this.#service)) {
 			return true;
 		}
@@ -205,7 +211,7 @@
 		const now = this.#monotonicNow();
 		const {slots} = this.#serviceLoad();
 		return groups.waitUntilRunning(this.#service, {
-			timeoutMs: this.#retryTimeoutMs(route) - this.#sinceProgressMs(), queueLimit: queueLimitFor(slots, load.entryCount(now)), signal: this.#callerResponse.disconnected,
+			timeoutMs: this.#retryTimeoutMs(route) - this.#sinceProgressMs(), queueLimit: queueLimitFor(slots, load.entryCount(now)), signal: AbortSignal.any([this.#callerResponse.disconnected, shutdown.requestsEnded]),
 		});
 	}
 
@@ -304,6 +310,7 @@
 			responseTimeoutMs: this.#responseTimeoutMs(route),
 			maySend: () => this.#maySend() && this.#isPermissionFresh() && context.directory.lookUp(endpoint.id, this.#monotonicNow()) !== undefined,
 			callerDisconnected: this.#callerResponse.disconnected,
+			requestsEnded: context.shutdown.requestsEnded,
 			onSending: () => {
 				this.#hasUnsettledAttempt = true;
 			},
@@ -376,6 +383,11 @@
 			}
 
 			case 'silent': {
+				if (this.#context.shutdown.requestsEnded.aborted) {
+					// The endpoint is not to blame, and there is no time left to ask for its group.
+					return this.#failTimedOut();
+				}
+
 				this.#recordOutcome(endpoint.id, 'silent');
 				await this.#context.groups.check(this.#service);
 				return this.#handleFailure(route, endpoint, {
@@ -499,6 +511,7 @@
 			previousEventAt: this.#stream === undefined ? undefined : this.#lastEventAt,
 			inactivityTimeoutMs: this.#inactivityTimeoutMs(route),
 			remainingMs: this.#remainingMs(route),
+			requestsEnded: this.#context.shutdown.requestsEnded,
 			onFirstEvent: () => {
 				this.#context.crashGuard.recordBegun(this.#crashCauses, this.#probedCauses);
 			},
@@ -526,7 +539,7 @@
 			}
 
 			case 'out-of-time': {
-				return this.#cutOffResponse(endpoint, 'timeout');
+				return this.#failTimedOut();
 			}
 
 			case 'broken': {
@@ -644,8 +657,13 @@
 		return (this.#req.waitMs ?? this.#route?.timeoutMs ?? 0) - this.#elapsedMs();
 	}
 
-	/** Time until the caller's deadline or the route's timeout, whichever is sooner, in ms. */
+	/** Time until the request has to end, in ms: that of the call, or until this entry stops. */
 	#remainingMs(route: Route): number {
+		return Math.min(this.#callTimeMs(route), this.#context.shutdown.remainingMs());
+	}
+
+	/** Time until the caller's deadline or the route's timeout, whichever is sooner, in ms. */
+	#callTimeMs(route: Route): number {
 		return Math.min(this.#req.waitMs ?? route.timeoutMs, route.timeoutMs) - this.#elapsedMs();
 	}
 }
--- /dev/null
+++ b/packages/gateway/src/shutdown.ts
@@ -0,0 +1,64 @@
+/** The planned stop of an entry: which requests it still takes, and when those in progress are ended with an answer. */
+import {setMaxListeners} from 'node:events';
+
+/** Time for which a stopping entry takes any request, in ms: the load balancer checks once a second and removes an entry after two failed checks. */
+export const DEREGISTRATION_DELAY_MS = 2600;
+
+/** Requests in progress are ended this long before the process would be killed, in ms, so that their callers are still told. */
+const REQUESTS_END_MARGIN_MS = 400;
+
+export class Shutdown {
+	/**
+	 * @param graceMs - Time from the stop signal until the process is killed, in ms.
+	 * @param now - Monotonic clock in ms.
+	 */
+	static create(graceMs: number, now: () => number): Shutdown {
+		return new Shutdown(graceMs, now);
+	}
+
+	readonly #requestsEnded = new AbortController();
+	#startedAt: number | undefined;
+	readonly #graceMs: number;
+	readonly #now: () => number;
+
+	private constructor(graceMs: number, now: () => number) {
+		this.#graceMs = graceMs;
+		// Each request in progress listens.
+		setMaxListeners(0, this.#requestsEnded.signal);
+		this.#now = now;
+	}
+
+	get hasBegun(): boolean {
+		return this.#startedAt !== undefined;
+	}
+
+	/** Time for which any request is taken after the begin, in ms. */
+	get deregistrationDelayMs(): number {
+		return Math.min(DEREGISTRATION_DELAY_MS, this.#graceMs / 2);
+	}
+
+	/** Aborts when the requests in progress have to end. */
+	get requestsEnded(): AbortSignal {
+		return this.#requestsEnded.signal;
+	}
+
+	/** Begins the stop; the requests in progress end before the grace period does. */
+	begin(): void {
+		if (this.#startedAt === undefined) {
+			this.#startedAt = this.#now();
+			setTimeout(() => {
+				this.#requestsEnded.abort();
+			}, Math.max(0, this.#graceMs - REQUESTS_END_MARGIN_MS));
+		}
+	}
+
+	/** Time until the requests in progress end, in ms; infinite before the stop. */
+	remainingMs(): number {
+		return this.#startedAt === undefined ? Infinity : Math.max(0, this.#startedAt + this.#graceMs - REQUESTS_END_MARGIN_MS - this.#now());
+	}
+
+	/** Whether a request that may take `timeoutMs` is taken: once callers are sent elsewhere, only if it surely ends in time. */
+	mayTake(timeoutMs: number): boolean {
+		return this.#startedAt === undefined || this.#now() - this.#startedAt < this.deregistrationDelayMs || timeoutMs <= this.remainingMs();
+	}
+}
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -41,13 +41,15 @@
 	readonly inactivityTimeoutMs: {readonly first: number; readonly later: number};
 	/** Time left for the whole stream, in ms. */
 	readonly remainingMs: number;
+	/** Aborts when the requests of a stopping entry have to end. */
+	readonly requestsEnded: AbortSignal;
 	/** Called when the first event arrives. */
 	readonly onFirstEvent: () => void;
 	/** Called with the time between two events of this endpoint, in ms. */
 	readonly onGap: (gapMs: number) => void;
 };
 
-export async function relayStream({res, exchange, callerResponse, head, lastEventId, isResumable, previousEventAt, inactivityTimeoutMs, remainingMs, onFirstEvent, onGap}: RelayInput): Promise<RelayResult> {
+export async function relayStream({res, exchange, callerResponse, head, lastEventId, isResumable, previousEventAt, inactivityTimeoutMs, remainingMs, requestsEnded, onFirstEvent, onGap}: RelayInput): Promise<RelayResult> {
 	const splitter = EventSplitter.create(lastEventId, isResumable || lastEventId !== undefined);
 	let lastEventAt = performance.now();
 	let gapStartedAt = previousEventAt;
@@ -68,6 +70,7 @@
 			clearTimeout(deadlineTimer);
 			clearTimeout(inactivityTimer);
 			callerResponse.disconnected.removeEventListener('abort', onDisconnect);
+			requestsEnded.removeEventListener('abort', onOutOfTime);
 			res.off('data', onSourceData).off('end', onSourceEnd).off('close', onClose);
 		};
 
@@ -152,9 +155,12 @@
 		};
 
 		let inactivityTimer = setTimeout(onInactivity, inactivityTimeoutMs.first);
-		const deadlineTimer = setTimeout(() => {
+		const onOutOfTime = () => {
 			finish({kind: 'out-of-time'});
-		}, Math.max(0, remainingMs));
+		};
+
+		const deadlineTimer = setTimeout(onOutOfTime, Math.max(0, remainingMs));
+		requestsEnded.addEventListener('abort', onOutOfTime, {once: true});
 		callerResponse.disconnected.addEventListener('abort', onDisconnect, {once: true});
 		res.on('error', () => {
 			// 'close' follows and ends the relay.
--- a/packages/rankagent/src/agent.ts
+++ b/packages/rankagent/src/agent.ts
@@ -77,6 +77,7 @@
 	#directoryReadAt = Number.NEGATIVE_INFINITY;
 	#switchPendingSince: number | undefined;
 	#isStopping = false;
+	#stopped: Promise<void> | undefined;
 	#isEngineReachable = true;
 	readonly #options: RankAgentOptions;
 
@@ -94,6 +95,11 @@
 
 	/** Stops once no switch is in progress, at the latest after {@link STOP_TIMEOUT_MS}. */
 	async stop(): Promise<void> {
+		this.#stopped ??= this.#stopOnce();
+		return this.#stopped;
+	}
+
+	async #stopOnce(): Promise<void> {
 		this.#isStopping = true;
 		const startedAt = performance.now();
 		while (this.#coordinator.isSwitching && performance.now() - startedAt < STOP_TIMEOUT_MS) {
