Bound what the responses of all requests hold together

Cause: bounds for each response, none for all; refusals were read to their end; an incomplete event was copied with each chunk.

--- a/packages/dispatch/src/event-splitter.ts
+++ b/packages/dispatch/src/event-splitter.ts
@@ -24,6 +24,9 @@
 
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
+/** Longest part of a blank line, with the end of the line before it, that may lie before a chunk, in bytes. */
+const BLANK_LINE_OVERLAP = 2;
+
 const ID_FIELD = /^id: ?(\d+)$/u;
 
 /** A field with a value, or one of those that may stand without a colon. A status line of HTTP is neither. */
@@ -42,7 +45,9 @@
 	lastId: number | undefined;
 	/** Id of the last event of this source, forwarded or dropped. */
 	#lastSourceId: number | undefined;
-	#pending: Uint8Array = new Uint8Array(0);
+	/** Chunks of an incomplete event, joined only when it is complete: a long one would be copied with each chunk. */
+	readonly #pending: Uint8Array[] = [];
+	#pendingBytes = 0;
 	#fault: string | undefined;
 	readonly #requiresIds: boolean;
 
@@ -53,12 +58,17 @@
 
 	/** Number of bytes of an incomplete event. */
 	get pendingBytes(): number {
-		return this.#pending.length;
+		return this.#pendingBytes;
 	}
 
 	/** Processes the next bytes of the stream. Nothing is forwarded after a fault. */
 	push(chunk: Uint8Array): SplitEvents {
-		let data = this.#pending.length === 0 ? Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength) : Buffer.concat([this.#pending, chunk]);
+		if (this.#pending.length > 0 && !this.#completesEvent(chunk)) {
+			this.#hold(chunk);
+			return {bytes: new Uint8Array(0), count: 0, fault: this.#fault};
+		}
+
+		let data = this.#pending.length === 0 ? Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength) : Buffer.concat([...this.#pending, chunk]);
 		const forwarded: Uint8Array[] = [];
 		let count = 0;
 		for (let end = findEventEnd(data); end !== -1 && this.#fault === undefined; end = findEventEnd(data)) {
@@ -71,10 +81,26 @@
 			}
 		}
 
-		this.#pending = data;
+		this.#pending.length = 0;
+		this.#pendingBytes = 0;
+		this.#hold(data);
 		return {bytes: forwarded.length === 1 ? forwarded[0]! : Buffer.concat(forwarded), count, fault: this.#fault};
 	}
 
+	#hold(bytes: Uint8Array): void {
+		if (bytes.length > 0) {
+			this.#pending.push(bytes);
+			this.#pendingBytes += bytes.length;
+		}
+	}
+
+	/** Whether a blank line ends in this chunk; it may begin in what is pending. */
+	#completesEvent(chunk: Uint8Array): boolean {
+		const last = this.#pending.at(-1)!;
+		const tail = last.length >= BLANK_LINE_OVERLAP ? last.subarray(-BLANK_LINE_OVERLAP) : Buffer.concat(this.#pending).subarray(-BLANK_LINE_OVERLAP);
+		return findEventEnd(Buffer.concat([tail, chunk])) !== -1;
+	}
+
 	/** Checks the next block against what came before. Returns whether it is forwarded. */
 	#accept(block: Block): boolean {
 		switch (block.kind) {
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,5 +1,6 @@
 /** One attempt of a request at one endpoint, up to a complete response or the head of a stream. */
 import {validateHeaderName, validateHeaderValue, type IncomingMessage} from 'node:http';
+import type {BufferBudget} from './buffer-budget.js';
 import type {ConnectionPool} from './connection-pool.js';
 import type {
 	CallerRequest, Dialect, ForwardingInfo, ResponseHead,
@@ -42,6 +43,8 @@
 	readonly callerDisconnected: AbortSignal;
 	/** Aborts when the requests of a stopping entry have to end. */
 	readonly requestsEnded: AbortSignal;
+	/** Limits what all responses hold. */
+	readonly buffers: BufferBudget;
 	/** Called just before the first byte of the request is sent. */
 	readonly onSending: () => void;
 	/** Called with the head of the endpoint's response to this request. */
@@ -51,6 +54,9 @@
 /** Largest response that is buffered before it is forwarded, in bytes. */
 const MAX_BUFFERED_RESPONSE_BYTES = 8 * 1024 * 1024;
 
+/** Largest body that is read of a response that is not forwarded, in bytes; the connection of a longer one is closed. */
+const MAX_NOT_RUN_BYTES = 16 * 1024;
+
 /** Range of the statuses of complete responses. */
 const MIN_FINAL_STATUS = 200;
 const MAX_STATUS = 599;
@@ -115,7 +121,7 @@
 	});
 }
 
-async function readResponse({req, isStream, isReusedConnection, onResponse}: SentAttempt, exchange: Exchange, dialect: Dialect): Promise<AttemptResult> {
+async function readResponse({req, isStream, isReusedConnection, onResponse, buffers}: SentAttempt, exchange: Exchange, dialect: Dialect): Promise<AttemptResult> {
 	const head = await exchange.head;
 	if (head.kind === 'broken') {
 		return {kind: 'unknown', reason: head.reason};
@@ -140,7 +146,7 @@
 		return {kind: 'stream', res, exchange};
 	}
 
-	const body = await readResponseBody(exchange, res, MAX_BUFFERED_RESPONSE_BYTES);
+	const body = await readResponseBody(exchange, res, {maxBytes: response.isNotRun ? MAX_NOT_RUN_BYTES : MAX_BUFFERED_RESPONSE_BYTES, buffers});
 	if (response.isNotRun) {
 		return {
 			kind: 'not-run', status, isMisdirected: response.isMisdirected, faultyEndpointId: response.faultyEndpointId,
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {request, type ClientRequest, type IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
+import type {BufferBudget} from './buffer-budget.js';
 import type {ConnectionPool, ConnectionTarget} from './connection-pool.js';
 
 /** The head of a response, or why there is none. */
@@ -82,17 +83,33 @@
 	return seconds === undefined ? undefined : Number(seconds) * 1000;
 }
 
-/** Reads a complete body. Returns undefined if it is truncated or exceeds `maxBytes`. */
-export async function readResponseBody(exchange: Exchange, res: IncomingMessage, maxBytes: number): Promise<Uint8Array | undefined> {
+/** Limits of a body: for itself, in bytes, and together with those of all other responses. */
+export type BodyLimits = {readonly maxBytes: number; readonly buffers: BufferBudget};
+
+/** Reads a complete body. Returns undefined if it is truncated or exceeds a limit. */
+export async function readResponseBody(exchange: Exchange, res: IncomingMessage, {maxBytes, buffers}: BodyLimits): Promise<Uint8Array | undefined> {
+	const share = buffers.open();
+	try {
+		return await readLimitedBody(exchange, res, bytes => bytes <= maxBytes && share.resize(bytes));
+	} finally {
+		share.release();
+	}
+}
+
+async function readLimitedBody(exchange: Exchange, res: IncomingMessage, isWithinLimits: (bytes: number) => boolean): Promise<Uint8Array | undefined> {
 	const chunks: Uint8Array[] = [];
 	let bytes = 0;
 	return new Promise(resolve => {
 		res.on('data', (chunk: Uint8Array) => {
-			chunks.push(chunk);
 			bytes += chunk.length;
-			if (bytes > maxBytes) {
-				res.destroy();
+			if (isWithinLimits(bytes)) {
+				chunks.push(chunk);
+				return;
 			}
+
+			chunks.length = 0;
+			resolve(undefined);
+			exchange.abort();
 		});
 		res.once('end', () => {
 			resolve(res.complete && !exchange.isBroken ? Buffer.concat(chunks) : undefined);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,6 @@
 /** An entry that connects directly to endpoints: its state, servers and background tasks, and its shutdown. */
 import {keysAreTrusted} from './admission.js';
+import {BufferBudget} from './buffer-budget.js';
 import {CallerServer} from './caller-server.js';
 import {ConnectionPool} from './connection-pool.js';
 import {CrashGuard} from './crash-guard.js';
@@ -145,6 +146,7 @@
 			budgetOf: service => this.#budgetOf(service),
 			capacityOf: service => this.#capacityOf(service),
 			shutdown: this.#shutdown,
+			buffers: BufferBudget.create(),
 			keyTrustMs: options.keyTrustMs,
 			now: readInstant,
 			random: Math.random,
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -5,6 +5,7 @@
 import {Buffer} from 'node:buffer';
 import {admit, maySend, type AdmissionContext} from './admission.js';
 import {runAttempt, type AttemptResult} from './attempt.js';
+import type {BufferBudget} from './buffer-budget.js';
 import type {CallerResponse} from './caller-response.js';
 import type {ConnectionPool} from './connection-pool.js';
 import type {CrashGuard, CauseAdmission} from './crash-guard.js';
@@ -34,6 +35,8 @@
 	readonly groups: GroupMonitor;
 	readonly crashGuard: CrashGuard;
 	readonly shutdown: Shutdown;
+	/** Limits what the responses of all requests hold. */
+	readonly buffers: BufferBudget;
 	/** Retry budget of this entry for a service. */
 	readonly budgetOf: (service: string) => RetryBudget;
 	/** Capacity of a service for streams, as this entry sees it. */
@@ -311,6 +314,7 @@
 			maySend: () => this.#maySend() && this.#isPermissionFresh() && context.directory.lookUp(endpoint.id, this.#monotonicNow()) !== undefined,
 			callerDisconnected: this.#callerResponse.disconnected,
 			requestsEnded: context.shutdown.requestsEnded,
+			buffers: context.buffers,
 			onSending: () => {
 				this.#hasUnsettledAttempt = true;
 			},
@@ -512,6 +516,7 @@
 			inactivityTimeoutMs: this.#inactivityTimeoutMs(route),
 			remainingMs: this.#remainingMs(route),
 			requestsEnded: this.#context.shutdown.requestsEnded,
+			buffers: this.#context.buffers,
 			onFirstEvent: () => {
 				this.#context.crashGuard.recordBegun(this.#crashCauses, this.#probedCauses);
 			},
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -1,6 +1,7 @@
 /** Forwards the complete events of an endpoint's stream to the caller as they arrive. */
 import type {IncomingMessage} from 'node:http';
 import {isUnframed} from './attempt.js';
+import type {BufferBudget} from './buffer-budget.js';
 import type {CallerResponse} from './caller-response.js';
 import type {Exchange} from './exchange.js';
 import {EventSplitter} from '#dispatch';
@@ -43,13 +44,16 @@
 	readonly remainingMs: number;
 	/** Aborts when the requests of a stopping entry have to end. */
 	readonly requestsEnded: AbortSignal;
+	/** Limits what all responses hold. */
+	readonly buffers: BufferBudget;
 	/** Called when the first event arrives. */
 	readonly onFirstEvent: () => void;
 	/** Called with the time between two events of this endpoint, in ms. */
 	readonly onGap: (gapMs: number) => void;
 };
 
-export async function relayStream({res, exchange, callerResponse, head, lastEventId, isResumable, previousEventAt, inactivityTimeoutMs, remainingMs, requestsEnded, onFirstEvent, onGap}: RelayInput): Promise<RelayResult> {
+export async function relayStream({res, exchange, callerResponse, head, lastEventId, isResumable, previousEventAt, inactivityTimeoutMs, remainingMs, requestsEnded, buffers, onFirstEvent, onGap}: RelayInput): Promise<RelayResult> {
+	const share = buffers.open();
 	const splitter = EventSplitter.create(lastEventId, isResumable || lastEventId !== undefined);
 	let lastEventAt = performance.now();
 	let gapStartedAt = previousEventAt;
@@ -67,6 +71,7 @@
 
 		const stopListening = () => {
 			isFinished = true;
+			share.release();
 			clearTimeout(deadlineTimer);
 			clearTimeout(inactivityTimer);
 			callerResponse.disconnected.removeEventListener('abort', onDisconnect);
@@ -90,7 +95,7 @@
 
 			// The head is sent with the first event, so that another endpoint's may be sent until then; earlier comments are dropped.
 			const isWritable = bytes.length === 0 || !isHeadSent || callerResponse.write(bytes);
-			if (fault !== undefined || splitter.pendingBytes > MAX_EVENT_BYTES) {
+			if (fault !== undefined || splitter.pendingBytes > MAX_EVENT_BYTES || !share.resize(splitter.pendingBytes)) {
 				finish({kind: 'broken', reason: fault ?? 'event too long'});
 				return;
 			}
