--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,6 +7,7 @@
 export {createDeferred, type Deferred} from './deferred.js';
 export {invariant, unreachable} from './invariant.js';
 export {formatFinding, type Finding} from './finding.js';
+export {listenWhenFree} from './listen.js';
 export {failed, ok, type Result} from './result.js';
 export {guardCallback, superviseTask, type ErrorListener} from './supervise.js';
 export {sleep} from './sleep.js';
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -3,7 +3,6 @@
  * unchanged.
  */
 import {Buffer} from 'node:buffer';
-import {once} from 'node:events';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
@@ -12,6 +11,7 @@
 import type {Dialect} from './dialect.js';
 import {RequestHandler, type RequestHandlerContext} from './request-handler.js';
 import {refusalOf} from './refusals.js';
+import {listenWhenFree} from '#core';
 
 /** Default limit for request bodies, in bytes, if the configuration is not known yet. */
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
@@ -22,6 +22,9 @@
 /** Idle connections are closed this much later than the idle timeout of callers, in ms, so that callers close them first. */
 const IDLE_TIMEOUT_MARGIN_MS = 3000;
 
+/** Connections that wait to be accepted. */
+const LISTEN_BACKLOG = 1024;
+
 /** Status of the response to a request that could not be decoded. */
 const INTERNAL_ERROR_STATUS = 500;
 
@@ -102,8 +105,7 @@
 	}
 
 	async #listen(): Promise<void> {
-		this.#server.listen({host: this.#options.host, port: this.#options.port, backlog: 1024});
-		await once(this.#server, 'listening');
+		await listenWhenFree(this.#server, this.#options, LISTEN_BACKLOG);
 	}
 
 	/** Ends a request that could not be decoded, and has been sent nowhere. */
--- a/packages/gateway/src/status-server.ts
+++ b/packages/gateway/src/status-server.ts
@@ -1,8 +1,7 @@
 /** HTTP server for readiness checks of the load balancer, or for metrics. */
 import {Buffer} from 'node:buffer';
-import {once} from 'node:events';
 import {createServer} from 'node:http';
-import type {ErrorListener} from '#core';
+import {listenWhenFree, type ErrorListener} from '#core';
 
 /** Response to a status request. */
 export type StatusResponse = {
@@ -21,8 +20,7 @@
 			res.destroy();
 		});
 	});
-	server.listen({host, port});
-	await once(server, 'listening');
+	await listenWhenFree(server, {host, port});
 	signal.addEventListener('abort', () => {
 		server.close();
 		server.closeAllConnections();
--- a/packages/links/src/request-server.ts
+++ b/packages/links/src/request-server.ts
@@ -1,8 +1,8 @@
 /** Request-response server over WebSockets; frames are MessagePack. */
-import {once} from 'node:events';
+import {createServer} from 'node:http';
 import {pack, unpack} from 'msgpackr';
 import {WebSocketServer, type WebSocket} from 'ws';
-import type {ErrorListener} from '#core';
+import {listenWhenFree, type ErrorListener} from '#core';
 
 /** Handles one request and returns the response. A rejection is sent to the client as a failure. */
 export type RequestHandler = (request: unknown) => Promise<unknown>;
@@ -10,6 +10,9 @@
 /** Largest frame, in bytes: fits a configuration of a thousand routes with room to spare. */
 export const MAX_FRAME_BYTES = 4 * 1024 * 1024;
 
+/** Status of the response to a request that is no WebSocket. */
+const UPGRADE_REQUIRED_STATUS = 426;
+
 export type RequestServerOptions = {
 	readonly signal: AbortSignal;
 	/** Called with the exception of a request that failed, also one that cannot be decoded. */
@@ -19,10 +22,15 @@
 export class RequestServer {
 	/** Listens until the signal aborts. Rejects if the address is taken. */
 	static async create(host: string, port: number, handler: RequestHandler, {signal, onError}: RequestServerOptions): Promise<RequestServer> {
-		const server = new WebSocketServer({
-			host, port, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false,
+		const httpServer = createServer((_req, res) => {
+			res.writeHead(UPGRADE_REQUIRED_STATUS, {Connection: 'close'}).end();
 		});
-		await once(server, 'listening');
+		await listenWhenFree(httpServer, {host, port});
+		const server = new WebSocketServer({server: httpServer, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false});
+		signal.addEventListener('abort', () => {
+			httpServer.close();
+			httpServer.closeAllConnections();
+		}, {once: true});
 		return new RequestServer(server, handler, {signal, onError});
 	}
 
