Test of slow readers in a planned stop: all requests are read before the stop

Cause, in the test: its four requests came in four segments, and Node stops reading while a response fills the connection. So one was read only after the stop had begun, where a refusal is allowed. The requests now come in one segment and the stop begins after all have been answered; what is checked is the same.

--- a/packages/gateway/__tests__/unit/planned-stop.test.ts
+++ b/packages/gateway/__tests__/unit/planned-stop.test.ts
@@ -2,7 +2,7 @@
 import {connect} from 'node:net';
 import t, {type Test} from 'tap';
 import {
-	chunk, FakeEndpoint, FakeRegistry, response, startGateway, streamHead, testConfig, testRoute, type Script,
+	chunk, createRecordingLogger, FakeEndpoint, FakeRegistry, response, startGateway, streamHead, testConfig, testRoute, type Script,
 } from '../gateway-harness.js';
 import {sleep} from '#core';
 import type {RouteKind} from '#dispatch';
@@ -99,26 +99,30 @@
 void t.test('responses that their caller reads slowly are written out', async t => {
 	const body = 'x'.repeat(6_000_000);
 	const endpoint = await FakeEndpoint.create(t, 'e1', (socket, {id}) => socket.write(response(id, body)));
-	const {gateway, port} = await startGateway(t, FakeRegistry.create(testConfig([testRoute()]), [endpoint.record()]), {graceMs: 6000});
+	const {logger, lines} = createRecordingLogger();
+	const {gateway, port} = await startGateway(t, FakeRegistry.create(testConfig([testRoute()]), [endpoint.record()]), {graceMs: 6000, logger});
 	const socket = connect(port, '127.0.0.1');
+	t.teardown(() => {
+		socket.destroy();
+	});
 	let bytes = 0;
 	socket.on('error', () => undefined).on('data', data => {
 		bytes += data.length;
 	});
-	for (let i = 0; i < RESPONSES; i += 1) {
-		socket.write(`GET / HTTP/1.1\r\nHost: h\r\nX-Request-Id: q${i}\r\n\r\n`);
-	}
-
-	while (bytes === 0) {
-		await sleep(5);
+	socket.pause();
+	// In one segment, so that all are read before the first response fills the connection.
+	socket.write(Array.from({length: RESPONSES}, (_, i) => `GET / HTTP/1.1\r\nHost: h\r\nX-Request-Id: q${i}\r\n\r\n`).join(''));
+	while (lines.filter(({message}) => message === 'request answered').length < RESPONSES) {
+		await sleep(10);
 	}
 
-	socket.pause();
 	const stopped = gateway.stop();
 	await sleep(3200);
 	socket.resume();
 	await stopped;
-	await sleep(100);
+	while (!socket.destroyed && bytes <= body.length * RESPONSES) {
+		await sleep(10);
+	}
+
 	t.ok(bytes > body.length * RESPONSES, `${bytes} bytes`);
-	socket.destroy();
 });
