Log why a stream was cut off and why no retry was made, and count refusals that name a time to retry

The logs could not tell the hypotheses of the incident apart: a cut stream had no age of its last event, of its endpoint's last byte or of the stop, a retry that was not made left no reason, and a refusal's Retry-After left no trace. No decision changes.

--- a/packages/gateway/__tests__/gateway-harness.ts
+++ b/packages/gateway/__tests__/gateway-harness.ts
@@ -152,6 +152,7 @@
 		isMisdirected: status === 421,
 		faultyEndpointId: undefined,
 		limitPerS: headers['x-limit'] === undefined ? undefined : Number(headers['x-limit']),
+		retryAfterS: headers['retry-after'] === undefined ? undefined : Number(headers['retry-after']),
 	}),
 	headersToCaller: rawHeaders => rawHeaders.filter((_, i) => !['connection', 'content-length', 'transfer-encoding', 'keep-alive'].includes(rawHeaders[i - (i % 2)]!.toLowerCase())),
 	refusalHeaders: req => ['X-Request-Id', req.id],
@@ -268,9 +269,9 @@
 /** What a caller received: all bytes until the connection ended or `until` was received. */
 export type RawCallResult = {readonly text: string; readonly ended: 'closed' | 'open' | 'reset'};
 
-/** Sends raw bytes to the entry and collects the response for `forMs` ms, or until the connection ends or `until` is received. */
-export async function callRaw(port: number, text: string, forMs = 600, until = '\0'): Promise<RawCallResult> {
-	const socket = connect(port, '127.0.0.1');
+/** Sends raw bytes to the entry, on loopback unless it has another address, and collects the response for `forMs` ms, or until the connection ends or `until` is received. */
+export async function callRaw(entry: number | {readonly host: string; readonly port: number}, text: string, forMs = 600, until = '\0'): Promise<RawCallResult> {
+	const socket = connect(typeof entry === 'number' ? {host: '127.0.0.1', port: entry} : entry);
 	socket.write(text);
 	let received = '';
 	return new Promise(resolve => {
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -13,7 +13,7 @@
 	/** No byte of the request was sent. `isForbidden`: it could have been, but was no longer allowed. */
 	= | {readonly kind: 'not-sent'; readonly reason: string; readonly isForbidden: boolean}
 		/** The endpoint states that it did not run the request. */
-		| {readonly kind: 'not-run'; readonly status: number; readonly isMisdirected: boolean; readonly faultyEndpointId: string | undefined}
+		| {readonly kind: 'not-run'; readonly status: number; readonly isMisdirected: boolean; readonly faultyEndpointId: string | undefined; readonly retryAfterS: number | undefined}
 		/** A complete response. */
 		| {readonly kind: 'response'; readonly status: number; readonly isSigned: boolean; readonly rawHeaders: readonly string[]; readonly body: Uint8Array; /** Whether only the end of the connection delimits the body, which may be truncated. */ readonly isUnframed: boolean}
 		/** The head of an event stream; its body has not been read yet. */
@@ -149,7 +149,7 @@
 	const body = await readResponseBody(exchange, res, {maxBytes: response.isNotRun ? MAX_NOT_RUN_BYTES : MAX_BUFFERED_RESPONSE_BYTES, buffers});
 	if (response.isNotRun) {
 		return {
-			kind: 'not-run', status, isMisdirected: response.isMisdirected, faultyEndpointId: response.faultyEndpointId,
+			kind: 'not-run', status, isMisdirected: response.isMisdirected, faultyEndpointId: response.faultyEndpointId, retryAfterS: response.retryAfterS,
 		};
 	}
 
--- a/packages/gateway/src/event-log.ts
+++ b/packages/gateway/src/event-log.ts
@@ -16,6 +16,19 @@
 	readonly targetGapMs: number | undefined;
 };
 
+/** Why another attempt is made, or is not. */
+export type RetryDecision = 'taken' | 'not-repeatable' | 'attempts-used' | 'no-time' | 'budget-used';
+
+/** Times that tell why a stream was cut off, in ms before it. */
+export type CutAges = {
+	/** Since the last event was forwarded; undefined if there was none. */
+	readonly sinceEventMs: number | undefined;
+	/** Since the endpoint's last byte; undefined if no stream of an endpoint was read. */
+	readonly sinceByteMs: number | undefined;
+	/** Since the entry began to stop; undefined if it does not. */
+	readonly sinceStopMs: number | undefined;
+};
+
 /** Summary of a request, with the configuration that applied to it. */
 export type RequestSummary = {
 	readonly requestId: string;
@@ -35,9 +48,9 @@
 export type EntryEvent
 	= | {readonly kind: 'answered'; readonly facts: RequestSummary; readonly endpoint: string; readonly status: number; readonly firstByteMs: number}
 		| {readonly kind: 'refused'; readonly facts: RequestSummary; readonly reason: RefusalReason; readonly status: number; readonly retryAfterS: number | undefined; readonly detail: string | undefined}
-		| {readonly kind: 'cut'; readonly facts: RequestSummary; readonly endpoint: string; readonly reason: string; readonly lastEventId: number | undefined}
+		| {readonly kind: 'cut'; readonly facts: RequestSummary; readonly endpoint: string; readonly reason: string; readonly lastEventId: number | undefined; readonly ages: CutAges}
 		| {readonly kind: 'caller-left'; readonly facts: RequestSummary}
-		| {readonly kind: 'attempt-failed'; readonly requestId: string; readonly fingerprint: string; readonly attempt: number; readonly endpoint: string; readonly outcome: string; readonly detail: string; readonly inFlight: number; readonly willRetry: boolean}
+		| {readonly kind: 'attempt-failed'; readonly requestId: string; readonly fingerprint: string; readonly attempt: number; readonly endpoint: string; readonly outcome: string; readonly detail: string; readonly inFlight: number; readonly retryAfterS: number | undefined; readonly retry: RetryDecision}
 		| {readonly kind: 'configuration'; readonly version: number; readonly source: string; readonly routes: number; readonly workspaces: number}
 		| {readonly kind: 'endpoint'; readonly id: string; readonly service: string; readonly change: string; readonly source: string}
 		/** The limit that an endpoint names, in requests per second; undefined when it no longer names one. */
@@ -159,7 +172,17 @@
 			}
 
 			case 'attempt-failed': {
-				this.#metrics.count(event.willRetry ? 'retries' : 'crashes', event.outcome);
+				if (event.retry === 'taken') {
+					this.#metrics.count('retries', event.outcome);
+				} else {
+					this.#metrics.count('crashes', event.outcome);
+					this.#metrics.count('retriesDenied', event.retry);
+				}
+
+				if (event.retryAfterS !== undefined) {
+					this.#metrics.count('retryAfters', 'received');
+				}
+
 				return;
 			}
 
@@ -221,7 +244,7 @@
 
 			case 'cut': {
 				this.#logger.warn('answer cut off', {
-					...event.facts, endpoint: event.endpoint, reason: event.reason, lastEventId: event.lastEventId,
+					...event.facts, endpoint: event.endpoint, reason: event.reason, lastEventId: event.lastEventId, ...event.ages,
 				});
 				return;
 			}
@@ -233,7 +256,7 @@
 
 			case 'attempt-failed': {
 				const {kind, ...fields} = event;
-				this.#logger.info('attempt failed', fields);
+				this.#logger.info('attempt failed', {...fields, willRetry: event.retry === 'taken'});
 				return;
 			}
 
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -10,7 +10,9 @@
 import type {ConnectionPool} from './connection-pool.js';
 import type {CrashGuard, CauseAdmission} from './crash-guard.js';
 import type {CallerRequest, Dialect} from './dialect.js';
-import type {EntryEventLog, RequestSummary, StreamSummary} from './event-log.js';
+import type {
+	CutAges, EntryEventLog, RequestSummary, RetryDecision, StreamSummary,
+} from './event-log.js';
 import type {GroupMonitor} from './group-monitor.js';
 import type {LimitGuard} from './limit-guard.js';
 import {refusalOf, retryAfterSeconds, type RefusalReason} from './refusals.js';
@@ -71,6 +73,9 @@
 	= | {readonly kind: 'chosen'; readonly endpoint: EndpointRecord}
 		| {readonly kind: 'none'; readonly reason: RefusalReason; readonly detail: string};
 
+/** How an attempt failed, for the log. */
+type AttemptFailure = {readonly outcome: string; readonly detail: string; /** Time for which the endpoint asks for no more requests, in s. */ readonly retryAfterS?: number | undefined};
+
 type FinalResult = {readonly kind: 'done'} | {readonly kind: 'refuse'; readonly reason: RefusalReason; readonly detail?: string};
 
 export class RequestHandler {
@@ -92,6 +97,8 @@
 	#firstByteMs = 0;
 	#lastEventId: number | undefined;
 	#lastEventAt: number | undefined;
+	/** When an endpoint last sent a byte of the stream, in monotonic ms. */
+	#lastByteAt: number | undefined;
 	#stream: StreamSummary | undefined;
 	/** What a crash of its endpoint may be blamed on. */
 	#crashCauses: readonly CrashCause[] = [];
@@ -382,7 +389,7 @@
 				this.#recordOutcome(result.faultyEndpointId ?? endpoint.id, result.isMisdirected ? 'misdirected' : 'full');
 				await this.#context.groups.check(this.#service);
 				return this.#handleFailure(route, endpoint, {
-					outcome: 'not-run', detail: String(result.status), finalReason: 'not-run', mayRetry: true,
+					outcome: 'not-run', detail: String(result.status), retryAfterS: result.retryAfterS, finalReason: 'not-run', mayRetry: true,
 				});
 			}
 
@@ -439,27 +446,33 @@
 		}
 
 		this.#connectFailures += 1;
-		const willRetry = this.#connectFailures < MAX_CONNECT_FAILURES;
-		this.#recordAttemptFailure(endpoint, 'not-sent', reason, willRetry);
-		if (willRetry && this.#maySend()) {
+		const retry = this.#connectFailures < MAX_CONNECT_FAILURES ? 'taken' : 'attempts-used';
+		this.#recordAttemptFailure(endpoint, {outcome: 'not-sent', detail: reason, retry});
+		if (retry === 'taken' && this.#maySend()) {
 			return 'retry';
 		}
 
 		return this.#fail(this.#maySend() ? 'unreachable' : 'stale-keys');
 	}
 
-	#handleFailure(route: Route, endpoint: EndpointRecord, {outcome, detail, finalReason, mayRetry}: {readonly outcome: string; readonly detail: string; readonly finalReason: RefusalReason; readonly mayRetry: boolean}): FinalResult | 'retry' {
-		this.#failureDetail = `${outcome} ${detail} at ${endpoint.id}`;
-		const willRetry = mayRetry && this.#tryTakeRetry(route);
-		this.#recordAttemptFailure(endpoint, outcome, detail, willRetry);
-		return willRetry ? 'retry' : this.#fail(finalReason);
+	#handleFailure(route: Route, endpoint: EndpointRecord, {finalReason, mayRetry, ...failure}: AttemptFailure & {readonly finalReason: RefusalReason; readonly mayRetry: boolean}): FinalResult | 'retry' {
+		this.#failureDetail = `${failure.outcome} ${failure.detail} at ${endpoint.id}`;
+		const retry = mayRetry ? this.#takeRetry(route) : 'not-repeatable';
+		this.#recordAttemptFailure(endpoint, {...failure, retry});
+		return retry === 'taken' ? 'retry' : this.#fail(finalReason);
 	}
 
 	/** Takes one retry from the retry budget if the route, the remaining time and the budget permit it. */
-	#tryTakeRetry(route: Route): boolean {
-		return this.#attempts < route.maxAttempts
-			&& this.#remainingMs(route) >= MIN_ATTEMPT_MS
-			&& this.#context.budgetOf(this.#service).consumeRetry(this.#monotonicNow());
+	#takeRetry(route: Route): RetryDecision {
+		if (this.#attempts >= route.maxAttempts) {
+			return 'attempts-used';
+		}
+
+		if (this.#remainingMs(route) < MIN_ATTEMPT_MS) {
+			return 'no-time';
+		}
+
+		return this.#context.budgetOf(this.#service).consumeRetry(this.#monotonicNow()) ? 'taken' : 'budget-used';
 	}
 
 	#handleResponse(route: Route, endpoint: EndpointRecord, response: Extract<AttemptResult, {kind: 'response'}>): FinalResult | 'retry' {
@@ -477,8 +490,8 @@
 
 		this.#recordOutcome(endpoint.id, response.status >= 500 ? 'failed' : 'answered');
 		const retryReason = response.status >= 500 ? 'failed' : (response.isUnframed ? 'unframed' : undefined);
-		if (retryReason !== undefined && isRepeatable(route) && this.#tryTakeRetry(route)) {
-			this.#recordAttemptFailure(endpoint, retryReason, String(response.status), true);
+		if (retryReason !== undefined && isRepeatable(route) && this.#takeRetry(route) === 'taken') {
+			this.#recordAttemptFailure(endpoint, {outcome: retryReason, detail: String(response.status), retry: 'taken'});
 			return 'retry';
 		}
 
@@ -526,6 +539,7 @@
 		});
 		this.#lastEventId = result.lastEventId;
 		this.#lastEventAt = result.lastEventAt;
+		this.#lastByteAt = result.lastByteAt;
 		this.#addToStreamSummary(route, result);
 		if (result.kind !== 'complete') {
 			exchange.abort();
@@ -595,11 +609,18 @@
 	#cutOffResponse(endpoint: EndpointRecord | undefined, reason: string): FinalResult {
 		this.#callerResponse.destroy();
 		this.#context.events.record({
-			kind: 'cut', facts: this.#summary(), endpoint: endpoint?.id ?? this.#lastEndpoint, reason, lastEventId: this.#lastEventId,
+			kind: 'cut', facts: this.#summary(), endpoint: endpoint?.id ?? this.#lastEndpoint, reason, lastEventId: this.#lastEventId, ages: this.#cutAges(),
 		});
 		return {kind: 'done'};
 	}
 
+	#cutAges(): CutAges {
+		const now = this.#monotonicNow();
+		const ageOf = (at: number | undefined) => at === undefined ? undefined : Math.round(now - at);
+		const stopAgeMs = this.#context.shutdown.ageMs;
+		return {sinceEventMs: ageOf(this.#lastEventAt), sinceByteMs: ageOf(this.#lastByteAt), sinceStopMs: stopAgeMs === undefined ? undefined : Math.round(stopAgeMs)};
+	}
+
 	#refuse(reason: RefusalReason, detail: string): void {
 		const {status, mayRetry} = refusalOf(reason);
 		const retryInput = {
@@ -617,9 +638,9 @@
 		this.#context.health.record(id, outcome, this.#monotonicNow());
 	}
 
-	#recordAttemptFailure(endpoint: EndpointRecord, outcome: string, detail: string, willRetry: boolean): void {
+	#recordAttemptFailure(endpoint: EndpointRecord, {outcome, detail, retryAfterS, retry}: AttemptFailure & {readonly retry: RetryDecision}): void {
 		this.#context.events.record({
-			kind: 'attempt-failed', requestId: this.#req.id, fingerprint: this.#fingerprint, attempt: this.#attempts, endpoint: endpoint.id, outcome, detail, inFlight: this.#context.load.inFlight(endpoint.id, this.#monotonicNow()), willRetry,
+			kind: 'attempt-failed', requestId: this.#req.id, fingerprint: this.#fingerprint, attempt: this.#attempts, endpoint: endpoint.id, outcome, detail, inFlight: this.#context.load.inFlight(endpoint.id, this.#monotonicNow()), retryAfterS, retry,
 		});
 	}
 
--- a/packages/gateway/src/shutdown.ts
+++ b/packages/gateway/src/shutdown.ts
@@ -37,6 +37,11 @@
 		return Math.min(DEREGISTRATION_DELAY_MS, this.#graceMs / 2);
 	}
 
+	/** Time since the begin of the stop, in ms; undefined before it. */
+	get ageMs(): number | undefined {
+		return this.#startedAt === undefined ? undefined : this.#now() - this.#startedAt;
+	}
+
 	/** Aborts when the requests in progress have to end. */
 	get requestsEnded(): AbortSignal {
 		return this.#requestsEnded.signal;
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -20,6 +20,8 @@
 	readonly lastEventId: number | undefined;
 	/** When the last event was forwarded, or the relay began, in monotonic ms. */
 	readonly lastEventAt: number;
+	/** When the endpoint last sent a byte, or the relay began, in monotonic ms. */
+	readonly lastByteAt: number;
 	/** Number of events forwarded. */
 	readonly events: number;
 	/** Longest time between two events that the caller has received, in ms, over all endpoints of the stream. */
@@ -56,6 +58,7 @@
 	const share = buffers.open();
 	const splitter = EventSplitter.create(lastEventId, isResumable || lastEventId !== undefined);
 	let lastEventAt = performance.now();
+	let lastByteAt = lastEventAt;
 	let gapStartedAt = previousEventAt;
 	let events = 0;
 	let longestGapMs = 0;
@@ -65,7 +68,7 @@
 		const finish = (outcome: RelayOutcome) => {
 			stopListening();
 			resolve({
-				...outcome, lastEventId: splitter.lastId, lastEventAt, events, longestGapMs,
+				...outcome, lastEventId: splitter.lastId, lastEventAt, lastByteAt, events, longestGapMs,
 			});
 		};
 
@@ -87,6 +90,7 @@
 		};
 
 		const onData = (chunk: Uint8Array) => {
+			lastByteAt = performance.now();
 			const {bytes, count, fault} = splitter.push(chunk);
 			if (count > 0) {
 				recordEvents(count);
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -16,6 +16,8 @@
 	refusals: ['Refusals to callers by reason.', 'reason'],
 	endpointRefusals: ['Work refused by the endpoint process by reason.', 'reason'],
 	retries: ['Attempts after the first by reason.', 'reason'],
+	retriesDenied: ['Attempts that were not followed by another one, by reason.', 'reason'],
+	retryAfters: ['Refusals of endpoints that named a time to retry.', 'kind'],
 	framesDropped: ['Late, crossed or duplicate frames by reason.', 'reason'],
 	peerRefusals: ['Peer messages and handshakes refused by reason.', 'reason'],
 	platformCalls: ['Calls of the platform by kind.', 'kind'],
