--- a/packages/tooling/__tests__/unit/page-examples.test.ts
+++ b/packages/tooling/__tests__/unit/page-examples.test.ts
@@ -16,6 +16,7 @@
 			const {status, stderr} = spawnSync(process.execPath, ['--input-type=module', '--eval', outputText], {encoding: 'utf8'});
 			t.equal(status, 0, `example ${i + 1}: ${stderr}`);
 		}
+
 		t.end();
 	});
 }
