Measure how long requests may have waited before they were read, and the delay of the event loop

What was missing: a request's time counted from when its body was read, and nothing told how long its bytes had lain in the socket or its connection in the listen backlog.

Node has no arrival times. ReadDelay gives an upper bound: what had arrived at a poll of the event loop is delivered by that poll, so bytes have waited no longer than since the last one, less the time in which the loop was idle. Polls are marked after each batch of reads, and by a timer every 100 ms; since that also ends each idle phase, longer idleness is a pause of the process and counts as waiting.

Connections need a bound of their own: Node 20.19 (libuv 1.46) accepts one per poll, seen with 300 connections in the backlog: 300 polls with one accept each.

New: the summaries readDelay and loopDelay, and readDelayMs in the lines of requests.

--- /dev/null
+++ b/packages/gateway/src/backlog-probe.ts
@@ -0,0 +1,74 @@
+/**
+ * Bounds the time that connections wait in the listen backlog while it does not empty: they are accepted in the order of their
+ * arrival, so those after a connection of the entry's own have arrived after that one was opened.
+ */
+import {connect, type Socket} from 'node:net';
+import type {ReadDelay} from './read-delay.js';
+import type {Address} from '#core';
+import type {Instant} from '#dispatch';
+
+/** The backlog is probed once it may have held connections for this long, in ms. */
+const MIN_BACKLOG_AGE_MS = 20;
+
+type Probe = {readonly startedAt: Instant; readonly socket: Socket};
+
+export class BacklogProbe {
+	/** @param listener - Address at which the connections arrive. */
+	static create(listener: Address, readDelay: ReadDelay, now: () => Instant): BacklogProbe {
+		return new BacklogProbe(listener, readDelay, now);
+	}
+
+	#probe: Probe | undefined;
+	/** Connections by their remote port that were accepted while the probe's own port is unknown. */
+	readonly #accepted = new Map<number, Socket>();
+	readonly #listener: Address;
+	readonly #readDelay: ReadDelay;
+	readonly #now: () => Instant;
+
+	private constructor(listener: Address, readDelay: ReadDelay, now: () => Instant) {
+		this.#listener = listener;
+		this.#readDelay = readDelay;
+		this.#now = now;
+	}
+
+	/** Registers a connection when it is accepted, and closes it if it is the probe. */
+	recordAccept(connection: Socket): void {
+		this.#readDelay.recordAccept(connection);
+		if (this.#probe === undefined) {
+			if (this.#readDelay.backlogAgeMs() > MIN_BACKLOG_AGE_MS) {
+				this.#open();
+			}
+
+			return;
+		}
+
+		if (this.#probe.socket.connecting) {
+			this.#accepted.set(connection.remotePort ?? 0, connection);
+		} else if (connection.remotePort === this.#probe.socket.localPort) {
+			this.#finish(this.#probe, connection);
+		}
+	}
+
+	#open(): void {
+		const probe: Probe = {startedAt: this.#now(), socket: connect(this.#listener)};
+		this.#probe = probe;
+		probe.socket.on('error', () => undefined);
+		probe.socket.once('connect', () => {
+			const connection = this.#accepted.get(probe.socket.localPort ?? 0);
+			this.#accepted.clear();
+			if (connection !== undefined) {
+				this.#finish(probe, connection);
+			}
+		});
+		probe.socket.once('close', () => {
+			this.#accepted.clear();
+			this.#probe = undefined;
+		});
+	}
+
+	#finish({startedAt, socket}: Probe, connection: Socket): void {
+		this.#readDelay.recordBacklogProbe(startedAt);
+		connection.destroy();
+		socket.destroy();
+	}
+}
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -7,8 +7,10 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {Server as NetServer} from 'node:net';
+import {BacklogProbe} from './backlog-probe.js';
 import {CallerResponse} from './caller-response.js';
 import type {Dialect} from './dialect.js';
+import type {ReadDelay} from './read-delay.js';
 import {RequestHandler, type RequestHandlerContext} from './request-handler.js';
 import {refusalOf} from './refusals.js';
 import {listenWhenFree} from '#core';
@@ -36,6 +38,7 @@
 	readonly port: number;
 	readonly context: RequestHandlerContext;
 	readonly dialect: Dialect;
+	readonly readDelay: ReadDelay;
 };
 
 export class CallerServer {
@@ -49,10 +52,12 @@
 	readonly #server: Server;
 	#isDraining = false;
 	readonly #openResponses = new Set<ServerResponse>();
+	readonly #backlogProbe: BacklogProbe;
 	readonly #options: CallerServerOptions;
 
 	private constructor(options: CallerServerOptions) {
 		this.#options = options;
+		this.#backlogProbe = BacklogProbe.create({host: options.host, port: options.port}, options.readDelay, options.context.now);
 		this.#server = createServer({maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS, noDelay: true}, (req, res) => {
 			this.#openResponses.add(res);
 			res.once('close', () => {
@@ -63,6 +68,9 @@
 				this.#failInternally(callerResponse, error);
 			});
 		});
+		this.#server.on('connection', socket => {
+			this.#backlogProbe.recordAccept(socket);
+		});
 		// The timeouts of the configuration apply; Node's own would abort requests that wait for a response.
 		this.#server.requestTimeout = 0;
 		this.#server.on('clientError', (err, socket) => {
@@ -121,7 +129,8 @@
 	}
 
 	async #serve(req: IncomingMessage, callerResponse: CallerResponse): Promise<void> {
-		const {context, dialect} = this.#options;
+		const {context, dialect, readDelay} = this.#options;
+		const arrival = readDelay.arrivalOn(req.socket);
 		const caller = dialect.readRequest(req.method ?? 'GET', req.url ?? '/', req.headers, req.rawHeaders);
 		const body = await readBody(req, context.config.current?.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES);
 		if (body === 'broken') {
@@ -135,7 +144,7 @@
 			return;
 		}
 
-		await RequestHandler.create(context, caller, body, callerResponse).run();
+		await RequestHandler.create(context, {req: caller, body, arrival}, callerResponse).run();
 	}
 }
 
--- a/packages/gateway/src/event-log.ts
+++ b/packages/gateway/src/event-log.ts
@@ -40,6 +40,8 @@
 	/** Age of the configuration's confirmation, in ms. */
 	readonly configAgeMs: number | undefined;
 	readonly attempts: number;
+	/** Upper bound of the time for which the request waited before it was read, in ms. */
+	readonly readDelayMs: number;
 	readonly elapsedMs: number;
 	/** Undefined before the first event, and for any other request. */
 	readonly stream: StreamSummary | undefined;
@@ -146,6 +148,10 @@
 	}
 
 	#count(event: EntryEvent): void {
+		if ('facts' in event) {
+			this.#metrics.recordLatency('readDelay', event.facts.readDelayMs);
+		}
+
 		switch (event.kind) {
 			case 'answered': {
 				this.#metrics.count('answers', `${Math.floor(event.status / 100)}xx`);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,4 +1,5 @@
 /** An entry that connects directly to endpoints: its state, servers and background tasks, and its shutdown. */
+import {performance} from 'node:perf_hooks';
 import {keysAreTrusted} from './admission.js';
 import {BufferBudget} from './buffer-budget.js';
 import {CallerServer} from './caller-server.js';
@@ -9,6 +10,7 @@
 import {GroupMonitor, type GroupProbe} from './group-monitor.js';
 import {LimitGuard} from './limit-guard.js';
 import {PeerExchange} from './peer-exchange.js';
+import {ReadDelay} from './read-delay.js';
 import {
 	syncConfig, syncEndpoints, type EntryState, type Registry,
 } from './registry.js';
@@ -100,6 +102,12 @@
 	readonly #budgets = new Map<string, RetryBudget>();
 	readonly #capacities = new Map<string, StreamCapacity>();
 	readonly #slackShare = SlackShare.create();
+	readonly #readDelay = ReadDelay.create({
+		now: readInstant, idleMs: () => performance.nodeTiming.idleTime, afterPoll(callback) {
+			setImmediate(callback);
+		},
+	});
+
 	#callerServer: CallerServer | undefined;
 	#peerExchange: PeerExchange | undefined;
 	readonly #options: GatewayOptions;
@@ -216,7 +224,12 @@
 
 		void superviseTask(async () => syncConfig(syncContext, () => this.#peerExchange?.polledPeers ?? 0, signal), this.#events.errorListener('configuration'), signal);
 		void superviseTask(async () => syncEndpoints(syncContext, signal), this.#events.errorListener('endpoints'), signal);
-		this.#callerServer = await CallerServer.create({...options.callers, context: this.#context, dialect: options.dialect});
+		this.#readDelay.start(signal, delayMs => {
+			options.metrics.recordLatency('loopDelay', delayMs);
+		});
+		this.#callerServer = await CallerServer.create({
+			...options.callers, context: this.#context, dialect: options.dialect, readDelay: this.#readDelay,
+		});
 		await serveStatus(options.ready.host, options.ready.port, async () => this.#readiness(), {signal, onError: this.#events.errorListener('readiness')});
 		const {metricsAddress} = options;
 		await serveStatus(metricsAddress.host, metricsAddress.port, async () => ({status: 200, body: await options.metrics.expose()}), {signal, onError: this.#events.errorListener('metrics')});
--- /dev/null
+++ b/packages/gateway/src/read-delay.ts
@@ -0,0 +1,134 @@
+/**
+ * How long bytes may have waited before they were read. Node has no arrival times, but what had arrived at a poll of the event loop
+ * is delivered by that poll: the time since the last one, without the time in which the loop had nothing to do, is an upper bound.
+ */
+import type {Socket} from 'node:net';
+import {elapsedMs, type Instant} from '#dispatch';
+
+/** Interval at which polls are marked, in ms. The loop cannot be idle for longer, unless the process was paused. */
+const MARK_INTERVAL_MS = 100;
+
+export type ReadDelayClock = {
+	readonly now: () => Instant;
+	/** Total time in which the event loop had nothing to do, in ms. */
+	readonly idleMs: () => number;
+	/** Calls back when the current poll of the event loop, or the next one, has delivered its events. */
+	readonly afterPoll: (callback: () => void) => void;
+};
+
+/** When a request that was just read arrived, at the earliest. */
+export type Arrival = {
+	readonly at: Instant;
+	/** Time for which it waited before it was read, at most, in ms. */
+	readonly readDelayMs: number;
+};
+
+/** A moment whose earlier bytes have all been delivered. */
+type Mark = {readonly at: Instant; readonly idleMs: number};
+
+export class ReadDelay {
+	static create(clock: ReadDelayClock): ReadDelay {
+		return new ReadDelay(clock);
+	}
+
+	#mark: Mark;
+	#tickedAt: Instant;
+	/** Whether a poll is being marked for the requests that were just read. */
+	#isMarking = false;
+	#accepts = 0;
+	/** Since when there may have been connections to accept; undefined if there are none. Node accepts one per poll. */
+	#backlogSince: Instant | undefined;
+	/** Since when bytes may have waited on connections that have not been polled since they were accepted. */
+	readonly #unpolled = new Map<Socket, Instant>();
+	readonly #clock: ReadDelayClock;
+
+	private constructor(clock: ReadDelayClock) {
+		this.#clock = clock;
+		this.#mark = {at: clock.now(), idleMs: clock.idleMs()};
+		this.#tickedAt = this.#mark.at;
+	}
+
+	/**
+	 * Marks polls until the signal aborts.
+	 *
+	 * @param onLoopDelay - Called with the delay of the event loop's timers, in ms, at each mark.
+	 */
+	start(signal: AbortSignal, onLoopDelay: (delayMs: number) => void): void {
+		const timer = setInterval(() => {
+			onLoopDelay(this.tick());
+		}, MARK_INTERVAL_MS);
+		signal.addEventListener('abort', () => {
+			clearInterval(timer);
+		}, {once: true});
+	}
+
+	/** Marks the next poll; called by a timer every `MARK_INTERVAL_MS`. Returns how late the timer is, in ms. */
+	tick(): number {
+		const mark = {at: this.#clock.now(), idleMs: this.#clock.idleMs()};
+		const delayMs = elapsedMs(this.#tickedAt, mark.at) - MARK_INTERVAL_MS;
+		this.#tickedAt = mark.at;
+		this.#clock.afterPoll(() => {
+			this.#mark = mark;
+		});
+		return Math.max(0, delayMs);
+	}
+
+	/** Registers a connection when it is accepted. */
+	recordAccept(connection: Socket): void {
+		this.#accepts += 1;
+		const count = this.#accepts;
+		this.#backlogSince ??= this.#earliestArrival();
+		this.#unpolled.set(connection, this.#backlogSince);
+		this.#markNextPoll(() => {
+			this.#unpolled.delete(connection);
+			if (this.#accepts === count) {
+				this.#backlogSince = undefined;
+			}
+		});
+	}
+
+	/** Time for which there may have been connections to accept, in ms. */
+	backlogAgeMs(): number {
+		return this.#backlogSince === undefined ? 0 : elapsedMs(this.#backlogSince, this.#clock.now());
+	}
+
+	/** Registers that connections that are accepted from now on arrived after `instant`. */
+	recordBacklogProbe(instant: Instant): void {
+		if (this.#backlogSince !== undefined) {
+			this.#backlogSince = instant;
+		}
+	}
+
+	/** Earliest arrival of bytes that were just read from a connection. */
+	arrivalOn(connection: Socket): Arrival {
+		const at = this.#unpolled.get(connection) ?? this.#earliestArrival();
+		if (!this.#isMarking) {
+			this.#isMarking = true;
+			this.#markNextPoll(() => {
+				this.#isMarking = false;
+			});
+		}
+
+		return {at, readDelayMs: elapsedMs(at, this.#clock.now())};
+	}
+
+	/** Marks the poll after the current one, which does not wait. */
+	#markNextPoll(onMarked: () => void): void {
+		const {now, idleMs, afterPoll} = this.#clock;
+		afterPoll(() => {
+			const mark = {at: now(), idleMs: idleMs()};
+			afterPoll(() => {
+				this.#mark = mark;
+				onMarked();
+			});
+		});
+	}
+
+	#earliestArrival(): Instant {
+		const now = this.#clock.now();
+		// Longer idleness is a pause of the process, during which bytes did wait.
+		const idleMs = Math.min(MARK_INTERVAL_MS, this.#clock.idleMs() - this.#mark.idleMs);
+		const delayMs = Math.max(0, elapsedMs(this.#mark.at, now) - idleMs);
+		return {monotonicMs: now.monotonicMs - delayMs, wallMs: now.wallMs - delayMs};
+	}
+}
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -15,6 +15,7 @@
 } from './event-log.js';
 import type {GroupMonitor} from './group-monitor.js';
 import type {LimitGuard} from './limit-guard.js';
+import type {Arrival} from './read-delay.js';
 import {refusalOf, retryAfterSeconds, type RefusalReason} from './refusals.js';
 import {relayStream, type RelayInput, type RelayResult} from './stream-relay.js';
 import type {Shutdown} from './shutdown.js';
@@ -45,6 +46,9 @@
 	readonly capacityOf: (service: string) => StreamCapacity;
 };
 
+/** A request that has been read. */
+export type ReceivedRequest = {readonly req: CallerRequest; readonly body: Uint8Array; readonly arrival: Arrival};
+
 /** Maximum number of failed connections per request. They use no attempt but take time, so the caller is asked to retry after that many. */
 const MAX_CONNECT_FAILURES = 3;
 
@@ -79,11 +83,12 @@
 type FinalResult = {readonly kind: 'done'} | {readonly kind: 'refuse'; readonly reason: RefusalReason; readonly detail?: string};
 
 export class RequestHandler {
-	static create(context: RequestHandlerContext, req: CallerRequest, body: Uint8Array, callerResponse: CallerResponse): RequestHandler {
-		return new RequestHandler(context, req, body, callerResponse);
+	static create(context: RequestHandlerContext, received: ReceivedRequest, callerResponse: CallerResponse): RequestHandler {
+		return new RequestHandler(context, received, callerResponse);
 	}
 
 	readonly #startedAt: Instant;
+	readonly #readDelayMs: number;
 	readonly #triedEndpoints = new Set<string>();
 	#route: Route | undefined;
 	#workspace: Workspace | undefined;
@@ -115,12 +120,13 @@
 	readonly #body: Uint8Array;
 	readonly #callerResponse: CallerResponse;
 
-	private constructor(context: RequestHandlerContext, req: CallerRequest, body: Uint8Array, callerResponse: CallerResponse) {
+	private constructor(context: RequestHandlerContext, {req, body, arrival}: ReceivedRequest, callerResponse: CallerResponse) {
 		this.#context = context;
 		this.#req = req;
 		this.#body = body;
 		this.#callerResponse = callerResponse;
 		this.#startedAt = context.now();
+		this.#readDelayMs = arrival.readDelayMs;
 		this.#lastEventId = req.lastEventId;
 	}
 
@@ -661,6 +667,7 @@
 			configVersion: config.current?.version,
 			configAgeMs: Number.isFinite(age) ? Math.round(age) : undefined,
 			attempts: this.#attempts,
+			readDelayMs: Math.round(this.#readDelayMs),
 			elapsedMs: Math.round(this.#elapsedMs()),
 			stream: this.#stream,
 		};
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -34,7 +34,7 @@
 export type CounterName = keyof typeof counterDefinitions;
 
 /** Names of the latency histograms, which are exposed in seconds. */
-const histogramNames = ['firstByte', 'total', 'claim', 'attempt', 'platformCall', 'longestGap'] as const;
+const histogramNames = ['firstByte', 'total', 'claim', 'attempt', 'platformCall', 'longestGap', 'readDelay', 'loopDelay'] as const;
 export type HistogramName = (typeof histogramNames)[number];
 
 function metricName(name: string): string {
