Count a request's time from its earliest possible arrival, not from when its body was read

Callers saw: replicas that worked on after their caller had left. Each got X-Deadline-Ms counted from when the entry had read the last byte of the request, so the time that it had waited in the listen backlog, in the socket, or for its body was granted twice.

Cause: RequestHandler read the clock when it was created.

The time now begins at the bound that ReadDelay gives when the head is read. Deadlines, timeouts of routes, late decisions and the patience of streams all use it; a request whose time has passed is refused as not run. The deduction is an upper bound: requests that are read first after a pause lose up to the length of the pause, and a wall clock that is set forward costs those that are read next the length of the step.

Retries have the same end as the first attempt: what is left is read again just before each is sent.

--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -14,7 +14,7 @@
 	readonly host: string;
 	/** Headers to forward: without hop-by-hop headers and those that the entry sets itself. */
 	readonly headers: RawHeaders;
-	/** Time that the caller waits, in ms from the arrival of the request; undefined if not given. */
+	/** Time that the caller waits, in ms from when it began to send the request; undefined if not given. */
 	readonly waitMs: number | undefined;
 	/** Key of a workspace. */
 	readonly key: string | undefined;
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -125,7 +125,7 @@
 		this.#req = req;
 		this.#body = body;
 		this.#callerResponse = callerResponse;
-		this.#startedAt = context.now();
+		this.#startedAt = arrival.at;
 		this.#readDelayMs = arrival.readDelayMs;
 		this.#lastEventId = req.lastEventId;
 	}
