Don't send a request whose caller's time passed while its connection was opened

Callers saw: an at-most-once request that ran after they had left, with a deadline of 1 ms.

Cause: the time left was checked before the endpoint was chosen. If the process is paused while the connection opens, what is sent is the larger of 1 ms and the negative rest.

The time is now checked with the other conditions that are read just before the first byte; a request that fails the check was sent nowhere and is refused as not run.

Evidence: the new case of paused-process.test.ts got 200 from an endpoint after 1.5 s with a time of 1 s; now 503, and nothing reaches the endpoint.

--- a/packages/gateway/__tests__/unit/paused-process.test.ts
+++ b/packages/gateway/__tests__/unit/paused-process.test.ts
@@ -1,4 +1,4 @@
-/** A process that is paused between a permission and the moment at which it would use it must ask again. */
+/** A process that is paused between a check and the moment at which it would send a request must check again. */
 import t from 'tap';
 import {
 	callRaw, createRecordingLogger, FakeEndpoint, FakeRegistry, response, startGateway, testConfig, testRoute,
@@ -20,15 +20,18 @@
 
 const cases = [
 	{
-		name: 'a key', keyTrustMs: KEY_TRUST_MS, limit: '', key: 'key-1', status: 503, isSent: false,
+		name: 'a key', keyTrustMs: KEY_TRUST_MS, limit: '', key: 'key-1', waitMs: 8000, status: 503, isSent: false,
 	},
 	{
-		name: 'a permit of an endpoint', keyTrustMs: undefined, limit: 'X-Limit: 1000\r\n', key: undefined, status: 200, isSent: true,
+		name: 'a permit of an endpoint', keyTrustMs: undefined, limit: 'X-Limit: 1000\r\n', key: undefined, waitMs: 8000, status: 200, isSent: true,
+	},
+	{
+		name: 'the time of the caller', keyTrustMs: undefined, limit: '', key: undefined, waitMs: PAUSE_MS - 500, status: 503, isSent: false,
 	},
 ] as const;
 
-for (const {name, keyTrustMs, limit, key, status, isSent} of cases) {
-	await t.test(`${name} is asked for again after a pause`, async t => {
+for (const {name, keyTrustMs, limit, key, waitMs, status, isSent} of cases) {
+	await t.test(`${name} is checked again after a pause`, async t => {
 		let isPausing = false;
 		const endpoint = await FakeEndpoint.create(t, 'e1', (socket, {id}) => {
 			socket.write(response(id, 'whole', '200 OK', `X-Signed: s\r\n${limit}`));
@@ -42,7 +45,7 @@
 		const registry = FakeRegistry.create(config, [endpoint.record()]);
 		const {logger, lines} = createRecordingLogger();
 		const {port} = await startGateway(t, registry, {keyTrustMs, logger});
-		const call = async (id: string) => callRaw(port, `POST / HTTP/1.1\r\nHost: h\r\nX-Request-Id: ${id}\r\n${key === undefined ? '' : `X-Key: ${key}\r\n`}Content-Length: 0\r\n\r\n`, 4000, '\r\n\r\n');
+		const call = async (id: string) => callRaw(port, `POST / HTTP/1.1\r\nHost: h\r\nX-Request-Id: ${id}\r\nX-Wait: ${waitMs}\r\n${key === undefined ? '' : `X-Key: ${key}\r\n`}Content-Length: 0\r\n\r\n`, 4000, '\r\n\r\n');
 		// The first answer names the limit, and the first permit begins to count it.
 		for (const id of ['q0', 'q1']) {
 			await call(id);
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -324,7 +324,7 @@
 			mayReuseConnection: isRepeatable(route),
 			remainingMs: () => Math.floor(this.#remainingMs(route) - DEADLINE_MARGIN_MS),
 			responseTimeoutMs: this.#responseTimeoutMs(route),
-			maySend: () => this.#maySend() && this.#isPermissionFresh() && context.directory.lookUp(endpoint.id, this.#monotonicNow()) !== undefined,
+			maySend: () => this.#maySend() && this.#isPermissionFresh() && this.#remainingMs(route) >= MIN_ATTEMPT_MS && context.directory.lookUp(endpoint.id, this.#monotonicNow()) !== undefined,
 			callerDisconnected: this.#callerResponse.disconnected,
 			requestsEnded: context.shutdown.requestsEnded,
 			buffers: context.buffers,
