Restrict the retries of a process that succeeds another

What callers and endpoints saw: an entry that starts again within a window of the retry budget had a second, full share of it. Endpoints got more repeats than the share of the requests and the slack allow over all entries.

Cause: the budget is held in the memory of the process. What the earlier process used in the same window is unknown to the next one, which granted max(slack share, fraction x own requests) from its first request on.

Ruled out: an attempt whose bytes were sent is never booked as not sent (the result is "not sent" only if no connection was opened, or before the request is written), and a retry is taken before each attempt after the first one that was sent.

Why it works: for one window a new process may use only the smaller of its slack share and the fraction of its own requests. An entry's earlier process uses at most max(share, fraction x requests); whichever of the two that is, the new process adds no more than the other one. So the sum over entries that each start again once within a window is at most the slack and the fraction of all requests. On the first start of the whole system, which the settings name, no earlier process exists and nothing is restricted.

--- a/packages/coordination/__tests__/unit/versioned-config.test.ts
+++ b/packages/coordination/__tests__/unit/versioned-config.test.ts
@@ -98,3 +98,18 @@
 
 	t.end();
 });
+
+await t.test('a process that succeeds another uses the smaller of the fraction and the minimum at first', t => {
+	const take = (budget: RetryBudget, now: number) => Array.from({length: 50}, () => budget.consumeRetry(now)).filter(Boolean).length;
+	for (const [requests, expected] of [[0, 0], [15, 1], [200, 3]] as const) {
+		const budget = RetryBudget.create({restrictedUntil: 9000});
+		for (let index = 0; index < requests; index += 1) {
+			budget.recordRequest(index);
+		}
+
+		t.equal(take(budget, 8999), expected, `${requests} requests`);
+		t.equal(take(budget, 9000), Math.max(3, requests * 0.1) - expected, 'then the larger one');
+	}
+
+	t.end();
+});
--- a/packages/coordination/src/retry-budget.ts
+++ b/packages/coordination/src/retry-budget.ts
@@ -9,6 +9,11 @@
 	readonly windowMs?: number;
 	/** Retries per window that are allowed regardless of the number of requests, or a function that returns the number in force; default 3. */
 	readonly minRetries?: number | (() => number);
+	/**
+	 * Time in ms until which only the smaller of the fraction and the minimum may be used, for a process that succeeds another: the
+	 * earlier one may have used both in the same window. Default: none.
+	 */
+	readonly restrictedUntil?: number;
 };
 
 type Slot = {index: number; requests: number; retries: number};
@@ -33,6 +38,7 @@
 	readonly #fraction: number;
 	readonly #slotMs: number;
 	readonly #minRetries: () => number;
+	readonly #restrictedUntil: number;
 	readonly #slots: Slot[] = [];
 
 	private constructor(options: RetryBudgetOptions) {
@@ -40,6 +46,7 @@
 		this.#fraction = options.fraction ?? DEFAULT_FRACTION;
 		const {minRetries = DEFAULT_MIN_RETRIES} = options;
 		this.#minRetries = typeof minRetries === 'function' ? minRetries : () => minRetries;
+		this.#restrictedUntil = options.restrictedUntil ?? Number.NEGATIVE_INFINITY;
 		this.#slotMs = windowMs / SLOT_COUNT;
 		invariant(windowMs > 0, `retry budget: window of ${windowMs} ms is not positive`);
 		invariant(this.#fraction >= 0 && this.#minRetries() >= 0, 'retry budget: negative fraction or minimum of retries');
@@ -71,7 +78,9 @@
 			retries += slot.retries;
 		}
 
-		return Math.max(0, Math.max(this.#minRetries(), Math.floor(requests * this.#fraction)) - retries);
+		const parts = [this.#minRetries(), Math.floor(requests * this.#fraction)];
+		const allowed = now < this.#restrictedUntil ? Math.min(...parts) : Math.max(...parts);
+		return Math.max(0, allowed - retries);
 	}
 
 	#slotAt(now: number): Slot {
--- a/packages/gateway/__tests__/gateway-harness.ts
+++ b/packages/gateway/__tests__/gateway-harness.ts
@@ -211,11 +211,15 @@
 	}
 }
 
+const testRetry: GatewayOptions['retry'] = {
+	fraction: 0.2, windowMs: 10_000, slack: 100, isFirstStart: true,
+};
+
 /** Options that differ from those of an entry without peers that always trusts its keys. */
-export type StartOptions = Partial<Pick<GatewayOptions, 'keyTrustMs' | 'peers' | 'probeGroup' | 'logger' | 'dialect' | 'graceMs'>>;
+export type StartOptions = Partial<Pick<GatewayOptions, 'keyTrustMs' | 'peers' | 'probeGroup' | 'logger' | 'dialect' | 'graceMs' | 'retry'>>;
 
 /** Starts an entry on loopback and waits until it has a configuration and endpoints; `port` is the one for callers. */
-export async function startGateway(t: Test, registry: Registry, {keyTrustMs, peers, probeGroup = async () => undefined, logger = createSilentLogger(), dialect = testDialect, graceMs = 800}: StartOptions = {}): Promise<{readonly gateway: Gateway; readonly port: number; readonly metrics: Metrics}> {
+export async function startGateway(t: Test, registry: Registry, {keyTrustMs, peers, probeGroup = async () => undefined, logger = createSilentLogger(), dialect = testDialect, graceMs = 800, retry = testRetry}: StartOptions = {}): Promise<{readonly gateway: Gateway; readonly port: number; readonly metrics: Metrics}> {
 	const [port, ready] = [await findFreePort(), await findFreePort()];
 	const metrics = Metrics.create();
 	const gateway = await Gateway.create({
@@ -226,7 +230,7 @@
 		metricsAddress: {host: '127.0.0.1', port: 0},
 		peers,
 		keyTrustMs,
-		retry: {fraction: 0.2, windowMs: 10_000, slack: 100},
+		retry,
 		graceMs,
 		probeGroup,
 		dialect,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -43,6 +43,8 @@
 		readonly windowMs: number;
 		/** Retries per window in addition to the share, across all entries. */
 		readonly slack: number;
+		/** Whether no process of any entry ran before; otherwise the retries of the first window are restricted, since an earlier process may have used them. */
+		readonly isFirstStart: boolean;
 	};
 	/** Time from the stop signal until the process is killed, in ms. */
 	readonly graceMs: number;
@@ -100,6 +102,7 @@
 	readonly #budgets = new Map<string, RetryBudget>();
 	readonly #capacities = new Map<string, StreamCapacity>();
 	readonly #slackShare = SlackShare.create();
+	readonly #createdAt = performance.now();
 	#callerServer: CallerServer | undefined;
 	#peerExchange: PeerExchange | undefined;
 	readonly #options: GatewayOptions;
@@ -255,8 +258,15 @@
 	#budgetOf(service: string): RetryBudget {
 		let budget = this.#budgets.get(service);
 		if (budget === undefined) {
-			const {fraction, windowMs, slack} = this.#options.retry;
-			budget = RetryBudget.create({fraction, windowMs, minRetries: () => this.#slackShare.of(slack, this.#context.load.entryCount(performance.now()))});
+			const {
+				fraction, windowMs, slack, isFirstStart,
+			} = this.#options.retry;
+			budget = RetryBudget.create({
+				fraction,
+				windowMs,
+				minRetries: () => this.#slackShare.of(slack, this.#context.load.entryCount(performance.now())),
+				restrictedUntil: isFirstStart ? Number.NEGATIVE_INFINITY : this.#createdAt + windowMs,
+			});
 			this.#budgets.set(service, budget);
 		}
 
