Limit the retries of every window, not only of the last one

What endpoints saw: more repeats in some window than the share of the requests and the slack allow, over all entries, when requests come in bursts.

Cause: a retry was granted if the retries of the last window were fewer than the fraction of the requests of that window. The window that ends with a later retry, or begins between two of them, was not looked at: two bursts of requests half a window apart each brought their share of retries, and a window that begins just after the first burst holds the retries of both but the requests of one. What is allowed in a window is measured by its own requests, those of the window before it or of the one half a window before it.

Why it works: the budget checks each window that includes the present. Windows that are over were checked when their last retry was granted.

--- a/packages/coordination/__tests__/unit/versioned-config.test.ts
+++ b/packages/coordination/__tests__/unit/versioned-config.test.ts
@@ -113,3 +113,19 @@
 
 	t.end();
 });
+
+await t.test('two bursts of requests half a window apart do not give the retries of both to one window', t => {
+	const budget = RetryBudget.create({fraction: 0.2, minRetries: 0});
+	const burst = (now: number) => {
+		for (let request = 0; request < 100; request += 1) {
+			budget.recordRequest(now);
+		}
+
+		return Array.from({length: 100}, () => budget.consumeRetry(now + 100)).filter(Boolean).length;
+	};
+
+	t.equal(burst(0), 20);
+	t.equal(burst(5100), 0);
+	t.equal(budget.remainingRetries(10_100), 20);
+	t.end();
+});
--- a/packages/coordination/src/retry-budget.ts
+++ b/packages/coordination/src/retry-budget.ts
@@ -1,4 +1,8 @@
-/** Limits retries to a fraction of the requests, so that retries do not amplify an outage. */
+/**
+ * Limits retries to a fraction of the requests, so that retries do not amplify an outage. In any window, the retries are limited by
+ * the requests of that window, the one before it or the one half a window before it, whichever has most: a request that arrives
+ * late in one window may need its retry early in the next.
+ */
 import {invariant} from '#core';
 
 /** Settings of a retry budget. */
@@ -20,6 +24,13 @@
 
 /** Number of slots that the window is divided into; an event leaves the window up to one slot late. */
 const SLOT_COUNT = 100;
+
+/** How much earlier the windows begin whose requests limit the retries of a window, in slots. */
+const WINDOW_SHIFTS = [0, SLOT_COUNT / 2, SLOT_COUNT] as const;
+
+/** Number of slots that are kept: those of all windows that include now, and of the windows before them. */
+const HISTORY_SLOTS = 2 * SLOT_COUNT;
+
 const DEFAULT_FRACTION = 0.1;
 const DEFAULT_WINDOW_MS = 10_000;
 const DEFAULT_MIN_RETRIES = 3;
@@ -71,16 +82,34 @@
 	/** Number of retries left at `now` (ms). */
 	remainingRetries(now: number): number {
 		this.#dropExpired(now);
-		let requests = 0;
-		let retries = 0;
+		const end = Math.floor(now / this.#slotMs) + 1;
+		const requests = this.#sumsUntil(end, ({requests}) => requests);
+		const retries = this.#sumsUntil(end, ({retries}) => retries);
+		const minRetries = this.#minRetries();
+		const isRestricted = now < this.#restrictedUntil;
+		let remaining = Infinity;
+		for (let age = 1; age <= SLOT_COUNT; age += 1) {
+			const most = Math.max(...WINDOW_SHIFTS.map(shift => sumOfWindow(requests, age + shift)));
+			const share = Math.floor(most * this.#fraction);
+			const allowed = isRestricted ? Math.min(minRetries, share) : Math.max(minRetries, share);
+			remaining = Math.min(remaining, allowed - sumOfWindow(retries, age));
+		}
+
+		return Math.max(0, remaining);
+	}
+
+	/** Sums of the slots before `end`: element `i` is the sum of the last `i` slots. */
+	#sumsUntil(end: number, valueOf: (slot: Slot) => number): readonly number[] {
+		const values = Array.from({length: HISTORY_SLOTS + 1}, () => 0);
 		for (const slot of this.#slots) {
-			requests += slot.requests;
-			retries += slot.retries;
+			values[Math.max(1, end - slot.index)]! += valueOf(slot);
 		}
 
-		const parts = [this.#minRetries(), Math.floor(requests * this.#fraction)];
-		const allowed = now < this.#restrictedUntil ? Math.min(...parts) : Math.max(...parts);
-		return Math.max(0, allowed - retries);
+		let sum = 0;
+		return values.map(value => {
+			sum += value;
+			return sum;
+		});
 	}
 
 	#slotAt(now: number): Slot {
@@ -98,9 +127,14 @@
 	}
 
 	#dropExpired(now: number): void {
-		const oldestIndex = Math.floor(now / this.#slotMs) - SLOT_COUNT;
+		const oldestIndex = Math.floor(now / this.#slotMs) + 1 - HISTORY_SLOTS;
 		while (this.#slots[0] !== undefined && this.#slots[0].index < oldestIndex) {
 			this.#slots.shift();
 		}
 	}
 }
+
+/** Sum of the window that began `age` slots ago, as far as it has passed, from the sums of the last slots. */
+function sumOfWindow(sums: readonly number[], age: number): number {
+	return sums[age]! - sums[Math.max(0, age - SLOT_COUNT)]!;
+}
