Keep the cause of crashes among the suspects of large batches

What endpoints saw: a request that crashes each endpoint went on to reach one after the other, if each crash took more than about a hundred other requests with it, in one batch or in several crashes at once.

Cause: at most 200 suspects are kept, and each request that an endpoint broke off adds itself and its parts. When there were more, the oldest suspect without a crashed probe was dropped, even while those that answers had cleared were kept. The cause that came again was no longer a suspect: it ran as any other request, not as a probe, and was never blocked.

Why it works: suspects are dropped, and left out of messages, in the order of how little is held against them: cleared ones first, then by number of crashes, then the oldest. An entry keeps 1000, which covers the endpoints of a group that crash together; messages still carry 200. A batch with more than 1000 causes may still push out its cause once.

--- a/packages/quarantine/__tests__/unit/crash-causes.test.ts
+++ b/packages/quarantine/__tests__/unit/crash-causes.test.ts
@@ -177,3 +177,31 @@
 	t.equal(suspects.verdict(['request:once'], 30_001).kind, 'probe');
 	t.end();
 });
+
+for (const batch of [10, 90, 110, 400]) {
+	void t.test(`a request that crashes its endpoint beside ${batch} others, which are served afterwards, is found by its second crash`, t => {
+		const suspects = CrashCauses.create();
+		const causes: readonly CrashCause[] = ['part:shared', 'request:deadly'];
+		let crashes = 0;
+		for (let now = 0; now < 20_000; now += 2000) {
+			const verdict = suspects.verdict(causes, now);
+			if (verdict.kind === 'blocked') {
+				break;
+			}
+
+			crashes += 1;
+			suspects.recordCrash(causes, verdict.kind === 'probe' ? verdict.causes : [], `deadly-${crashes}`, now);
+			const others = Array.from({length: batch}, (_, i): readonly CrashCause[] => ['part:shared', `part:s${now}-${i}`, `request:r${now}-${i}`]);
+			for (const other of others) {
+				suspects.recordCrash(other, [], `of ${other[2]!}`, now);
+			}
+
+			for (const other of others) {
+				suspects.recordBegun(other, now + 500);
+			}
+		}
+
+		t.equal(crashes, 2);
+		t.end();
+	});
+}
--- a/packages/quarantine/src/crash-causes.ts
+++ b/packages/quarantine/src/crash-causes.ts
@@ -60,8 +60,11 @@
 /** Entries report a suspect without a crashed probe for this time since its last crash or answer, in ms: by then all entries that can be reached know. One that was cleared is forgotten then. */
 const REPORTED_MS = 30_000;
 
-/** Maximum number of suspects, which bounds the messages between entries. */
-const MAX_SUSPECTS = 200;
+/** Maximum number of suspects: those of several endpoints that crash at once with all of their requests. */
+const MAX_SUSPECTS = 1000;
+
+/** Maximum number of suspects that are reported, which bounds the messages between entries. */
+const MAX_REPORTED_SUSPECTS = 200;
 
 /** Maximum number of causes whose last answer is remembered, to clear suspects of crashes that are reported late. */
 const MAX_REMEMBERED_CAUSES = 10_000;
@@ -155,7 +158,8 @@
 
 	/** What this entry knows of suspects, for other entries. Most whole requests never come again, so suspects that no probe crashed on are left out after a while. */
 	reports(now: number): readonly CauseReport[] {
-		const reported = [...this.#suspects].filter(([, {crashedAt, probeCrashes, begunAt}]) => probeCrashes > 0 || now - latest(crashedAt, begunAt)! <= REPORTED_MS);
+		const recent = [...this.#suspects].filter(([, {crashedAt, probeCrashes, begunAt}]) => probeCrashes > 0 || now - latest(crashedAt, begunAt)! <= REPORTED_MS);
+		const reported = recent.length <= MAX_REPORTED_SUSPECTS ? recent : recent.toSorted(([, a], [, b]) => compareSuspicion(b, a)).slice(0, MAX_REPORTED_SUSPECTS);
 		return reported.map(([cause, {crashIds, crashedAt, probeCrashes, begunAt}]) => ({
 			cause, crashId: crashIds.at(-1)!, crashAgeMs: now - crashedAt, probeCrashes, begunAgeMs: begunAt === undefined ? undefined : now - begunAt,
 		}));
@@ -192,8 +196,20 @@
 		};
 		this.#suspects.set(cause, isCleared(merged) ? {...merged, probeCrashes: 0} : merged);
 		if (this.#suspects.size > MAX_SUSPECTS) {
-			const [oldest] = [...this.#suspects].find(([, {probeCrashes}]) => probeCrashes === 0) ?? [cause];
-			this.#suspects.delete(oldest);
+			this.#removeLeastSuspicious();
+		}
+	}
+
+	#removeLeastSuspicious(): void {
+		let [least] = this.#suspects;
+		for (const entry of this.#suspects) {
+			if (least === undefined || compareSuspicion(entry[1], least[1]) < 0) {
+				least = entry;
+			}
+		}
+
+		if (least !== undefined) {
+			this.#suspects.delete(least[0]);
 		}
 	}
 }
@@ -203,6 +219,14 @@
 	return begunAt !== undefined && begunAt > crashedAt;
 }
 
+/** Orders suspects by how likely they are causes, the least likely first: those that answers have cleared, then by their crashes, and the older ones first. */
+function compareSuspicion(a: Suspect, b: Suspect): number {
+	return (a.probeCrashes - b.probeCrashes)
+		|| (Number(isCleared(b)) - Number(isCleared(a)))
+		|| (a.crashIds.length - b.crashIds.length)
+		|| (a.crashedAt - b.crashedAt);
+}
+
 function blockedUntil(cause: CrashCause, {crashedAt, probeCrashes, begunAt}: Suspect): number {
 	const needed = PROBE_CRASHES_TO_BLOCK[begunAt === undefined ? 'neverBegun' : 'begunBefore'];
 	const blockMs = BLOCK_MS[splitCause(cause).kind];
