Silence ends no exchange: another attempt is made beside it

What callers saw: a stream whose endpoint paused for longer than 1.7 s (its caller's patience of 2 s less 300 ms) was closed without its end whenever no retry could be had, though the endpoint went on a moment later. Idempotent requests lost an answer that came after half of their time, and streams that may not be resumed were cut after 2.5 s.

Cause: silence was treated as a break. The exchange was aborted first, and only then were attempts, time and retry budget asked for a retry. It is not the stop: the cases fail with and without a SIGTERM, and not a replica that breaks off: the replicas of the tests go on.

Now silence is only noted. The request asks whether the whole group is stopped, and waits for it with the exchange open and nothing taken from the retry budget; otherwise it takes a retry and makes another attempt beside the silent one. The first complete response, or the first endpoint with a complete next event, claims the caller in one turn of the event loop, which aborts the others, so no event comes twice. An attempt that is refused or breaks leaves the others open. A request ends by an answer, its caller's disconnect, its time, the end of a stop, or the break of its last exchange. Probes, permits and the state of sending belong to the attempt; a request counts as one that may have run while any attempt is unsettled. A stream that has begun waits for a stopped group without a place in the queue until its caller leaves.

An endpoint's failure (5xx, or a response without a length) is passed on if the attempts after or beside it deliver nothing; before, such a response was replaced by a 502 or 504 of the entry once a retry was taken.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -20,10 +20,8 @@
 		| {readonly kind: 'stream'; readonly res: IncomingMessage; readonly exchange: Exchange}
 		/** The request was sent; whether it ran is unknown. */
 		| {readonly kind: 'unknown'; readonly reason: string}
-		/** No response in time; the request was sent. */
-		| {readonly kind: 'silent'}
-		/** The caller disconnected. */
-		| {readonly kind: 'caller-left'};
+		/** It was aborted. */
+		| {readonly kind: 'aborted'};
 
 /** Input of an attempt. */
 export type AttemptInput = {
@@ -36,17 +34,18 @@
 	readonly mayReuseConnection: boolean;
 	/** Time left for the caller's request, in ms, read just before it is sent. */
 	readonly remainingMs: () => number;
-	/** Timeout of the response head, or of a complete response other than a stream, in ms. */
-	readonly responseTimeoutMs: number;
+	/** Time without the response head, or without a complete response other than a stream, after which the endpoint counts as silent, in ms; undefined if it never does. */
+	readonly silenceMs: number | undefined;
 	/** Checked again just before the request is sent; if false, it is not sent. */
 	readonly maySend: () => boolean;
-	readonly callerDisconnected: AbortSignal;
-	/** Aborts when the requests of a stopping entry have to end. */
-	readonly requestsEnded: AbortSignal;
+	/** Ends the attempt and closes its connection. */
+	readonly signal: AbortSignal;
 	/** Limits what all responses hold. */
 	readonly buffers: BufferBudget;
 	/** Called just before the first byte of the request is sent. */
 	readonly onSending: () => void;
+	/** Called when the endpoint counts as silent; the attempt goes on. */
+	readonly onSilent: () => void;
 	/** Called with the head of the endpoint's response to this request. */
 	readonly onResponse: (response: ResponseHead) => void;
 };
@@ -62,15 +61,15 @@
 const MAX_STATUS = 599;
 
 export async function runAttempt(input: AttemptInput, pool: ConnectionPool, dialect: Dialect): Promise<AttemptResult> {
-	const {req, endpoint, callerDisconnected} = input;
+	const {req, endpoint, signal} = input;
 	const opened = await pool.acquire(endpoint, {isNewRequired: !input.mayReuseConnection, timeoutMs: input.remainingMs()});
 	if (opened.kind === 'failed') {
 		return {kind: 'not-sent', reason: opened.reason, isForbidden: false};
 	}
 
-	if (callerDisconnected.aborted || !input.maySend()) {
+	if (signal.aborted || !input.maySend()) {
 		pool.release(endpoint, opened.socket, undefined);
-		return callerDisconnected.aborted ? {kind: 'caller-left'} : {kind: 'not-sent', reason: 'no longer allowed', isForbidden: true};
+		return signal.aborted ? {kind: 'aborted'} : {kind: 'not-sent', reason: 'no longer allowed', isForbidden: true};
 	}
 
 	const forwarding = {...input.forwarding, remainingMs: input.remainingMs(), bodyBytes: input.body.length};
@@ -89,36 +88,26 @@
 type SentAttempt = AttemptInput & {readonly isReusedConnection: boolean};
 
 async function awaitResponse(input: SentAttempt, exchange: Exchange, dialect: Dialect): Promise<AttemptResult> {
-	const {callerDisconnected, requestsEnded} = input;
-	return new Promise((resolve, reject) => {
-		const finish = (result: AttemptResult) => {
-			clearTimeout(timer);
-			callerDisconnected.removeEventListener('abort', onDisconnect);
-			requestsEnded.removeEventListener('abort', onSilent);
-			resolve(result);
-		};
-
-		const onSilent = () => {
-			finish({kind: 'silent'});
-			exchange.abort();
-		};
-
-		const timer = setTimeout(onSilent, Math.max(0, input.responseTimeoutMs));
-		requestsEnded.addEventListener('abort', onSilent, {once: true});
-		const onDisconnect = () => {
-			finish({kind: 'caller-left'});
+	const {signal, silenceMs, onSilent} = input;
+	const timer = silenceMs === undefined ? undefined : setTimeout(onSilent, Math.max(0, silenceMs));
+	let onAbort: () => void;
+	const aborted = new Promise<AttemptResult>(resolve => {
+		onAbort = () => {
+			resolve({kind: 'aborted'});
 			exchange.abort();
 		};
 
-		callerDisconnected.addEventListener('abort', onDisconnect, {once: true});
-		void readResponse(input, exchange, dialect).then(finish, (error: unknown) => {
-			clearTimeout(timer);
-			callerDisconnected.removeEventListener('abort', onDisconnect);
-			requestsEnded.removeEventListener('abort', onSilent);
-			exchange.abort();
-			reject(error);
-		});
+		signal.addEventListener('abort', onAbort, {once: true});
 	});
+	try {
+		return await Promise.race([aborted, readResponse(input, exchange, dialect)]);
+	} catch (error) {
+		exchange.abort();
+		throw error;
+	} finally {
+		clearTimeout(timer);
+		signal.removeEventListener('abort', onAbort!);
+	}
 }
 
 async function readResponse({req, isStream, isReusedConnection, onResponse, buffers}: SentAttempt, exchange: Exchange, dialect: Dialect): Promise<AttemptResult> {
--- a/packages/gateway/src/event-log.ts
+++ b/packages/gateway/src/event-log.ts
@@ -16,8 +16,8 @@
 	readonly targetGapMs: number | undefined;
 };
 
-/** Why another attempt is made, or is not. */
-export type RetryDecision = 'taken' | 'not-repeatable' | 'attempts-used' | 'no-time' | 'budget-used';
+/** Why another attempt is made, or is not; `not-needed` while another one of the request is open. */
+export type RetryDecision = 'taken' | 'not-needed' | 'not-repeatable' | 'attempts-used' | 'no-time' | 'budget-used';
 
 /** Times that tell why a stream was cut off, in ms before it. */
 export type CutAges = {
@@ -176,7 +176,9 @@
 					this.#metrics.count('retries', event.outcome);
 				} else {
 					this.#metrics.count('crashes', event.outcome);
-					this.#metrics.count('retriesDenied', event.retry);
+					if (event.retry !== 'not-needed') {
+						this.#metrics.count('retriesDenied', event.retry);
+					}
 				}
 
 				if (event.retryAfterS !== undefined) {
--- a/packages/gateway/src/group-monitor.ts
+++ b/packages/gateway/src/group-monitor.ts
@@ -34,7 +34,8 @@
 
 	readonly #stopped = new Set<string>();
 	readonly #pendingChecks = new Map<string, Promise<void>>();
-	readonly #waiters = new Map<string, Set<() => void>>();
+	/** What wakes the waiting requests, and whether each one counts. */
+	readonly #waiters = new Map<string, Map<() => void, boolean>>();
 	readonly #options: GroupMonitorOptions;
 	readonly #signal: AbortSignal;
 
@@ -68,15 +69,18 @@
 		await pendingCheck;
 	}
 
-	/** Waits until the service runs. Returns false immediately if `queueLimit` requests are already waiting, otherwise after `timeoutMs` or when the signal aborts. */
-	async waitUntilRunning(service: string, {timeoutMs, queueLimit, signal}: {readonly timeoutMs: number; readonly queueLimit: number; readonly signal: AbortSignal}): Promise<boolean> {
+	/**
+	 * Waits until the service runs. Returns false immediately if `queueLimit` requests are already waiting, otherwise after `timeoutMs`
+	 * or when the signal aborts. Without a limit it does not count: a request in progress holds its place already.
+	 */
+	async waitUntilRunning(service: string, {timeoutMs, queueLimit, signal}: {readonly timeoutMs: number; readonly queueLimit: number | undefined; readonly signal: AbortSignal}): Promise<boolean> {
 		if (!this.#stopped.has(service)) {
 			return true;
 		}
 
-		const waiters = this.#waiters.get(service) ?? new Set();
+		const waiters = this.#waiters.get(service) ?? new Map<() => void, boolean>();
 		this.#waiters.set(service, waiters);
-		if (waiters.size >= queueLimit) {
+		if (queueLimit !== undefined && [...waiters.values()].filter(Boolean).length >= queueLimit) {
 			return false;
 		}
 
@@ -85,7 +89,7 @@
 			wakeController.abort();
 		};
 
-		waiters.add(wake);
+		waiters.set(wake, queueLimit !== undefined);
 		signal.addEventListener('abort', wake, {once: true});
 		await sleep(timeoutMs, wakeController.signal);
 		waiters.delete(wake);
@@ -119,7 +123,7 @@
 
 	#noteRunning(service: string): void {
 		this.#stopped.delete(service);
-		for (const wake of this.#waiters.get(service) ?? []) {
+		for (const wake of this.#waiters.get(service)?.keys() ?? []) {
 			wake();
 		}
 
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -1,24 +1,27 @@
 /**
  * Handles one request: makes attempts until a response is complete, for plain responses and streams alike. Whether a request
- * may be repeated depends only on the kind of its route.
+ * may be repeated depends only on the kind of its route. Silence ends no attempt: another one is made beside it.
  */
 import {Buffer} from 'node:buffer';
 import {admit, maySend, type AdmissionContext} from './admission.js';
 import {runAttempt, type AttemptResult} from './attempt.js';
+import {AttemptRace, type RaceEvent, type RacingAttempt} from './attempt-race.js';
 import type {BufferBudget} from './buffer-budget.js';
 import type {CallerResponse} from './caller-response.js';
 import type {ConnectionPool} from './connection-pool.js';
 import type {CrashGuard, CauseAdmission} from './crash-guard.js';
 import type {CallerRequest, Dialect} from './dialect.js';
 import type {
-	CutAges, EntryEventLog, RequestSummary, RetryDecision, StreamSummary,
+	CutAges, EntryEventLog, RequestSummary, RetryDecision,
 } from './event-log.js';
 import type {GroupMonitor} from './group-monitor.js';
 import type {LimitGuard} from './limit-guard.js';
 import {refusalOf, retryAfterSeconds, type RefusalReason} from './refusals.js';
 import {relayStream, type RelayInput, type RelayResult} from './stream-relay.js';
+import {StreamProgress} from './stream-progress.js';
 import type {Shutdown} from './shutdown.js';
 import type {RetryBudget} from '#coordination';
+import {sleep} from '#core';
 import {
 	chooseEndpoint, effectivePriority, elapsedMs, isLate, LATE_SLOT_SHARE, maxInFlightFor, queueLimitFor, streamPatienceMs, type AttemptOutcome, type EndpointDirectory, type EndpointHealth, type EndpointRecord, type Instant, type LoadTracker,
 	type PriorityInput, type Route, type ServiceLoad, type StreamCapacity, type Workspace,
@@ -54,14 +57,14 @@
 /** Shortest remaining time for which an attempt is worth sending, in ms. */
 const MIN_ATTEMPT_MS = 20;
 
-/** Share of the remaining time that the first attempt of an idempotent request may take; the rest is for the second. */
+/** Share of the remaining time after which another attempt is made beside that of an idempotent request. */
 const FIRST_ATTEMPT_TIME_SHARE = 0.5;
 
 /** A silent stream is sent to another endpoint this long before its caller would disconnect, in ms; a stopped group responds sooner. */
 const STREAM_RETRY_MARGIN_MS = 300;
 
-/** A stream for which no other endpoint remains is given up this long after its caller should have disconnected, in ms. */
-const STREAM_GIVE_UP_MARGIN_MS = 500;
+/** Time in which a silent endpoint goes on once its group runs again, in ms; an attempt beside it is made after that. */
+const GROUP_RESUME_MS = 150;
 
 /** Maximum number of denied permits per attempt: each one costs a round trip to another entry, so endpoints without a limit are chosen then. */
 const MAX_DENIED_PERMITS = 3;
@@ -78,6 +81,36 @@
 
 type FinalResult = {readonly kind: 'done'} | {readonly kind: 'refuse'; readonly reason: RefusalReason; readonly detail?: string};
 
+/** An attempt from the choice of its endpoint to its end. */
+type Attempt = RacingAttempt<EndpointRecord> & {
+	/** Suspects that it is a probe of. */
+	probedCauses: readonly CrashCause[];
+	/** When its permissions were asked for; undefined if it needs none. */
+	permittedAt: Instant | undefined;
+};
+
+/** How an attempt that was not aborted ended. */
+type AttemptEnd
+	/** The caller has its response. */
+	= | {readonly kind: 'done'}
+		/** No request was sent, and another endpoint would not help. */
+		| {readonly kind: 'not-begun'; readonly reason: RefusalReason; readonly detail: string}
+		/** No other attempt may be made beside a silent one. */
+		| {readonly kind: 'no-retry'}
+		| FailedAttempt;
+
+type FailedAttempt = AttemptFailure & {
+	readonly kind: 'failed';
+	readonly endpoint: EndpointRecord;
+	readonly finalReason: RefusalReason;
+	/** Whether another attempt may follow: `free` if it takes nothing from the retry budget. */
+	readonly retry: 'free' | 'budgeted' | 'none';
+	/** Answers the caller if no other attempt follows; without it the request fails for `finalReason`. */
+	readonly respond?: (() => FinalResult) | undefined;
+};
+
+type Race = AttemptRace<AttemptEnd, EndpointRecord>;
+
 export class RequestHandler {
 	static create(context: RequestHandlerContext, req: CallerRequest, body: Uint8Array, callerResponse: CallerResponse): RequestHandler {
 		return new RequestHandler(context, req, body, callerResponse);
@@ -92,20 +125,18 @@
 	#attempts = 0;
 	#connectFailures = 0;
 	#mayHaveRun = false;
-	/** Whether a request is being sent whose result is not known yet. */
-	#hasUnsettledAttempt = false;
+	/** Number of attempts that were sent and whose result is not known yet. */
+	#unsettledAttempts = 0;
 	#firstByteMs = 0;
-	#lastEventId: number | undefined;
-	#lastEventAt: number | undefined;
-	/** When an endpoint last sent a byte of the stream, in monotonic ms. */
-	#lastByteAt: number | undefined;
-	#stream: StreamSummary | undefined;
+	readonly #progress: StreamProgress;
 	/** What a crash of its endpoint may be blamed on. */
 	#crashCauses: readonly CrashCause[] = [];
-	/** Suspects that the current attempt is a probe of. */
-	#probedCauses: readonly CrashCause[] = [];
-	/** When the permissions of the current attempt were asked for; undefined if it needs none. */
-	#permittedAt: Instant | undefined;
+	/** Suspects that the next attempt may be a probe of already. */
+	#grantedCauses: readonly CrashCause[] = [];
+	/** Why the request fails if no other attempt can be made; undefined before the first failure. */
+	#failureReason: RefusalReason | undefined;
+	/** Passes on the last failure that an endpoint answered with, if no other attempt delivers. */
+	#respondWithFailure: (() => FinalResult) | undefined;
 	/** Time until an endpoint accepts another request, in ms, if all have reached their limits. */
 	#limitWaitMs = 0;
 	#lastEndpoint = '';
@@ -121,7 +152,7 @@
 		this.#body = body;
 		this.#callerResponse = callerResponse;
 		this.#startedAt = context.now();
-		this.#lastEventId = req.lastEventId;
+		this.#progress = StreamProgress.create(req.lastEventId);
 	}
 
 	/** Handles the request. Never rejects: an exception ends this request alone. */
@@ -166,62 +197,198 @@
 		return maySend(this.#context, this.#req, this.#workspace);
 	}
 
-	/** Whether what was granted for the current attempt, a permit of its endpoint or a probe, still holds. */
-	#isPermissionFresh(): boolean {
-		return this.#permittedAt === undefined || elapsedMs(this.#permittedAt, this.#context.now()) <= PERMISSION_LIFETIME_MS;
+	/** Whether what was granted for an attempt, a permit of its endpoint or a probe, still holds. */
+	#isPermissionFresh({permittedAt}: Attempt): boolean {
+		return permittedAt === undefined || elapsedMs(permittedAt, this.#context.now()) <= PERMISSION_LIFETIME_MS;
 	}
 
 	async #attemptUntilDone(route: Route): Promise<FinalResult> {
-		for (;;) {
-			if (this.#callerResponse.disconnected.aborted) {
-				return {kind: 'done'};
+		const race: Race = AttemptRace.create({
+			callerDisconnected: this.#callerResponse.disconnected,
+			requestsEnded: this.#context.shutdown.requestsEnded,
+			timeoutMs: this.#remainingMs(route),
+			onLateError: this.#context.events.errorListener('request'),
+		});
+		try {
+			this.#start(race, async attempt => this.#attempt(route, attempt));
+			for (;;) {
+				const final = this.#handleEvent(route, race, await race.next());
+				if (final !== undefined) {
+					return final;
+				}
+			}
+		} finally {
+			race.close();
+		}
+	}
+
+	#start(race: Race, run: (attempt: Attempt) => Promise<AttemptEnd>): void {
+		race.start(async racing => {
+			const attempt: Attempt = {...racing, probedCauses: this.#grantedCauses, permittedAt: undefined};
+			this.#grantedCauses = [];
+			const end = await run(attempt);
+			if (!attempt.signal.aborted) {
+				this.#grantedCauses = attempt.probedCauses;
+			}
+
+			return end;
+		});
+	}
+
+	/** Returns the final result, or undefined while attempts are open. */
+	#handleEvent(route: Route, race: Race, event: RaceEvent<AttemptEnd, EndpointRecord>): FinalResult | undefined {
+		switch (event.kind) {
+			case 'silent': {
+				this.#recordOutcome(event.source.id, 'silent');
+				if (!race.isAnyActive && this.#isCallerPatient(route)) {
+					this.#start(race, async attempt => this.#attemptBeside(route, event.source, attempt));
+				}
+
+				return undefined;
+			}
+
+			case 'stopped': {
+				return event.stop === 'caller-left' ? {kind: 'done'} : this.#failTimedOut();
+			}
+
+			case 'threw': {
+				throw event.error;
+			}
+
+			case 'ended': {
+				return this.#handleEnd(route, race, event.end);
 			}
+		}
+	}
 
-			if (this.#remainingMs(route) < MIN_ATTEMPT_MS) {
-				return this.#failTimedOut();
+	#handleEnd(route: Route, race: Race, end: AttemptEnd): FinalResult | undefined {
+		switch (end.kind) {
+			case 'done': {
+				return end;
 			}
 
-			if (this.#attempts === 0 && !this.#context.shutdown.mayTake(this.#callTimeMs(route))) {
-				return this.#fail('stopping');
+			case 'failed': {
+				return this.#handleFailure(route, race, end);
 			}
 
-			if (!await this.#awaitRunningGroup(route)) {
-				return this.#fail('group-stopped');
+			case 'not-begun': {
+				return race.isAnyOpen ? undefined : this.#end(end.reason, end.detail);
 			}
 
-			const choosingAt = this.#context.now();
-			const choice = await this.#chooseEndpoint(route);
-			if (choice.kind === 'none') {
-				return this.#fail(choice.reason, choice.detail);
+			case 'no-retry': {
+				return race.isAnyOpen ? undefined : this.#end(this.#failureReason ?? 'timeout');
 			}
+		}
+	}
+
+	/** Makes another attempt if that is possible; the request fails only when no other one is open. */
+	#handleFailure(route: Route, race: Race, failure: FailedAttempt): FinalResult | undefined {
+		this.#failureDetail = `${failure.outcome} ${failure.detail} at ${failure.endpoint.id}`;
+		this.#failureReason = failure.finalReason;
+		this.#respondWithFailure = failure.respond ?? this.#respondWithFailure;
+		const retry = race.isAnyActive ? 'not-needed' : this.#decideRetry(route, failure);
+		if (retry === 'taken') {
+			this.#start(race, async attempt => this.#attempt(route, attempt));
+		}
+
+		const isLast = !race.isAnyOpen;
+		if (!isLast || failure.respond === undefined) {
+			this.#recordAttemptFailure({...failure, retry});
+		}
 
-			const admission = await this.#admitCauses();
-			if (admission.kind === 'refused') {
-				return this.#fail(admission.reason, admission.detail);
+		return isLast ? (failure.respond?.() ?? this.#end(failure.finalReason)) : undefined;
+	}
+
+	#decideRetry(route: Route, {retry}: FailedAttempt): RetryDecision {
+		switch (retry) {
+			case 'free': {
+				return this.#connectFailures < MAX_CONNECT_FAILURES && this.#maySend() ? (this.#isCallerPatient(route) ? 'taken' : 'no-time') : 'attempts-used';
+			}
+
+			case 'budgeted': {
+				return this.#takeRetry(route);
 			}
 
-			this.#probedCauses = admission.probed;
-			// Counted from when it was asked for: this process may have been paused since it was granted.
-			this.#permittedAt = admission.probed.length > 0 || this.#context.limitGuard.isLimited(choice.endpoint.id) ? choosingAt : undefined;
-			const result = await this.#attempt(route, choice.endpoint);
-			const next = await this.#handleResult(route, choice.endpoint, result);
-			if (next !== 'retry') {
-				return next;
+			case 'none': {
+				return 'not-repeatable';
 			}
 		}
 	}
 
+	/** Makes an attempt beside a silent one, which goes on. A group that pauses as a whole is waited for instead. */
+	async #attemptBeside(route: Route, silent: EndpointRecord, attempt: Attempt): Promise<AttemptEnd> {
+		const {groups} = this.#context;
+		await groups.check(this.#service);
+		if (groups.isStopped(this.#service)) {
+			const patienceMs = route.kind.kind === 'stream' ? streamPatienceMs(route) - this.#sinceProgressMs() : Infinity;
+			const isRunning = await groups.waitUntilRunning(this.#service, {timeoutMs: Math.min(this.#remainingMs(route), patienceMs), queueLimit: undefined, signal: attempt.signal});
+			if (!isRunning) {
+				return {kind: 'no-retry'};
+			}
+
+			await sleep(GROUP_RESUME_MS, attempt.signal);
+		}
+
+		if (attempt.signal.aborted) {
+			return {kind: 'no-retry'};
+		}
+
+		const retry = this.#takeRetry(route);
+		this.#recordAttemptFailure({
+			endpoint: silent, outcome: 'silent', detail: '', retry,
+		});
+		return retry === 'taken' ? this.#attempt(route, attempt) : {kind: 'no-retry'};
+	}
+
+	/** Makes one attempt. */
+	async #attempt(route: Route, attempt: Attempt): Promise<AttemptEnd> {
+		if (this.#remainingMs(route) < MIN_ATTEMPT_MS) {
+			return notBegun(this.#attempts === 0 ? 'timeout-before-sent' : 'timeout');
+		}
+
+		if (this.#attempts === 0 && !this.#context.shutdown.mayTake(this.#callTimeMs(route))) {
+			return notBegun('stopping');
+		}
+
+		if (!await this.#awaitRunningGroup(route, attempt)) {
+			return notBegun('group-stopped');
+		}
+
+		const choosingAt = this.#context.now();
+		const choice = await this.#chooseEndpoint(route);
+		if (choice.kind === 'none') {
+			return notBegun(choice.reason, choice.detail);
+		}
+
+		if (attempt.signal.aborted) {
+			return {kind: 'no-retry'};
+		}
+
+		const admission = await this.#admitCauses(attempt);
+		if (admission.kind === 'refused') {
+			return notBegun(admission.reason, admission.detail);
+		}
+
+		attempt.probedCauses = admission.probed;
+		// Counted from when it was asked for: this process may have been paused since it was granted.
+		attempt.permittedAt = admission.probed.length > 0 || this.#context.limitGuard.isLimited(choice.endpoint.id) ? choosingAt : undefined;
+		const result = await this.#sendTo(route, choice.endpoint, attempt);
+		return this.#handleResult(route, choice.endpoint, attempt, result);
+	}
+
 	/** Waits for a stopped group, but no longer than the caller would. Returns whether it runs. */
-	async #awaitRunningGroup(route: Route): Promise<boolean> {
-		const {groups, load, shutdown} = this.#context;
+	async #awaitRunningGroup(route: Route, {signal}: Attempt): Promise<boolean> {
+		const {groups, load} = this.#context;
 		if (!groups.isStopped(this.#service)) {
 			return true;
 		}
 
-		const now = this.#monotonicNow();
+		const {hasBegun} = this.#progress;
 		const {slots} = this.#serviceLoad();
 		return groups.waitUntilRunning(this.#service, {
-			timeoutMs: this.#retryTimeoutMs(route) - this.#sinceProgressMs(), queueLimit: queueLimitFor(slots, load.entryCount(now)), signal: AbortSignal.any([this.#callerResponse.disconnected, shutdown.requestsEnded]),
+			timeoutMs: Math.min((hasBegun ? streamPatienceMs(route) : this.#retryTimeoutMs(route)) - this.#sinceProgressMs(), this.#remainingMs(route)),
+			queueLimit: hasBegun ? undefined : queueLimitFor(slots, load.entryCount(this.#monotonicNow())),
+			signal,
 		});
 	}
 
@@ -292,53 +459,65 @@
 		};
 	}
 
-	async #attempt(route: Route, endpoint: EndpointRecord): Promise<AttemptResult> {
-		const context = this.#context;
+	async #sendTo(route: Route, endpoint: EndpointRecord, attempt: Attempt): Promise<AttemptResult> {
 		this.#triedEndpoints.add(endpoint.id);
 		this.#lastEndpoint = endpoint.id;
-		const endRequest = context.load.startRequest(endpoint.id);
+		const endRequest = this.#context.load.startRequest(endpoint.id);
 		try {
-			return await this.#runAttempt(route, endpoint, endRequest);
+			return await this.#runAttempt(route, endpoint, {attempt, endRequest});
 		} catch (error) {
 			endRequest();
 			throw error;
 		}
 	}
 
-	async #runAttempt(route: Route, endpoint: EndpointRecord, endRequest: () => void): Promise<AttemptResult> {
+	async #runAttempt(route: Route, endpoint: EndpointRecord, {attempt, endRequest}: {readonly attempt: Attempt; readonly endRequest: () => void}): Promise<AttemptResult> {
 		const context = this.#context;
+		let isSent = false;
+		let isSilent = false;
 		const result = await runAttempt({
 			req: this.#req,
 			body: this.#body,
 			endpoint,
 			forwarding: {
-				endpointId: endpoint.id, workspace: this.#workspace?.name, priority: effectivePriority(this.#priorityInput(route)), lastEventId: this.#lastEventId,
+				endpointId: endpoint.id, workspace: this.#workspace?.name, priority: effectivePriority(this.#priorityInput(route)), lastEventId: this.#progress.lastEventId,
 			},
 			isStream: route.kind.kind === 'stream',
 			mayReuseConnection: isRepeatable(route),
 			remainingMs: () => Math.floor(this.#remainingMs(route) - DEADLINE_MARGIN_MS),
-			responseTimeoutMs: this.#responseTimeoutMs(route),
-			maySend: () => this.#maySend() && this.#isPermissionFresh() && context.directory.lookUp(endpoint.id, this.#monotonicNow()) !== undefined,
-			callerDisconnected: this.#callerResponse.disconnected,
-			requestsEnded: context.shutdown.requestsEnded,
+			silenceMs: this.#silenceMs(route),
+			maySend: () => this.#maySend() && this.#isPermissionFresh(attempt) && this.#isCallerPatient(route) && context.directory.lookUp(endpoint.id, this.#monotonicNow()) !== undefined,
+			signal: attempt.signal,
 			buffers: context.buffers,
 			onSending: () => {
-				this.#hasUnsettledAttempt = true;
+				isSent = true;
+				this.#attempts += 1;
+				this.#unsettledAttempts += 1;
+			},
+			onSilent() {
+				isSilent = true;
+				attempt.noteSilent(endpoint);
 			},
 			onResponse(response) {
 				context.limitGuard.record(endpoint.id, response);
 			},
 		}, context.pool, context.dialect);
-		if (result.kind === 'stream') {
+		if (result.kind === 'stream' && !attempt.signal.aborted) {
 			result.res.once('close', endRequest);
 		} else {
 			endRequest();
 		}
 
-		this.#hasUnsettledAttempt = false;
-		if (result.kind !== 'not-sent') {
-			this.#attempts += 1;
+		if (isSent) {
+			this.#unsettledAttempts -= 1;
 			this.#mayHaveRun ||= result.kind !== 'not-run';
+			if (result.kind === 'aborted' && attempt.signal.reason === 'deadline' && !isSilent) {
+				this.#recordOutcome(endpoint.id, 'silent');
+				this.#recordAttemptFailure({
+					endpoint, outcome: 'silent', detail: '', retry: 'no-time',
+				});
+				await context.groups.check(this.#service);
+			}
 		}
 
 		return result;
@@ -350,13 +529,13 @@
 		};
 	}
 
-	#responseTimeoutMs(route: Route): number {
-		const remaining = this.#remainingMs(route);
+	/** Time without a response after which another attempt is made beside the next one, in ms; undefined if none may be. */
+	#silenceMs(route: Route): number | undefined {
 		if (!isRepeatable(route) || this.#attempts + 1 >= route.maxAttempts) {
-			return remaining;
+			return undefined;
 		}
 
-		return route.kind.kind === 'stream' ? Math.min(remaining, this.#retryTimeoutMs(route)) : remaining * FIRST_ATTEMPT_TIME_SHARE;
+		return route.kind.kind === 'stream' ? this.#retryTimeoutMs(route) : this.#remainingMs(route) * FIRST_ATTEMPT_TIME_SHARE;
 	}
 
 	/** Time without an event after which another attempt must begin to reach the caller before it disconnects, in ms. */
@@ -364,21 +543,25 @@
 		return streamPatienceMs(route) - STREAM_RETRY_MARGIN_MS;
 	}
 
-	/** Times without an event after which the current attempt is given up, in ms; a slow stream goes on while no other attempt remains. */
-	#inactivityTimeoutMs(route: Route): RelayInput['inactivityTimeoutMs'] {
+	/** Times without an event after which another attempt is made beside a stream, in ms; undefined if none may be. */
+	#streamSilenceMs(route: Route): RelayInput['silenceMs'] {
 		if (!isRepeatable(route) || this.#attempts >= route.maxAttempts) {
-			const timeoutMs = streamPatienceMs(route) + STREAM_GIVE_UP_MARGIN_MS;
-			return {first: timeoutMs, later: timeoutMs};
+			return undefined;
 		}
 
 		const later = this.#retryTimeoutMs(route);
 		return {first: Math.max(0, later - this.#sinceProgressMs()), later};
 	}
 
-	async #handleResult(route: Route, endpoint: EndpointRecord, result: AttemptResult): Promise<FinalResult | 'retry'> {
+	/** Whether the caller of a stream should still be there: it disconnects after a time without an event. */
+	#isCallerPatient(route: Route): boolean {
+		return route.kind.kind !== 'stream' || this.#sinceProgressMs() < streamPatienceMs(route);
+	}
+
+	async #handleResult(route: Route, endpoint: EndpointRecord, attempt: Attempt, result: AttemptResult): Promise<AttemptEnd> {
 		switch (result.kind) {
-			case 'caller-left': {
-				return {kind: 'done'};
+			case 'aborted': {
+				return {kind: 'no-retry'};
 			}
 
 			case 'not-sent': {
@@ -388,56 +571,43 @@
 			case 'not-run': {
 				this.#recordOutcome(result.faultyEndpointId ?? endpoint.id, result.isMisdirected ? 'misdirected' : 'full');
 				await this.#context.groups.check(this.#service);
-				return this.#handleFailure(route, endpoint, {
-					outcome: 'not-run', detail: String(result.status), retryAfterS: result.retryAfterS, finalReason: 'not-run', mayRetry: true,
-				});
-			}
-
-			case 'silent': {
-				if (this.#context.shutdown.requestsEnded.aborted) {
-					// The endpoint is not to blame, and there is no time left to ask for its group.
-					return this.#failTimedOut();
-				}
-
-				this.#recordOutcome(endpoint.id, 'silent');
-				await this.#context.groups.check(this.#service);
-				return this.#handleFailure(route, endpoint, {
-					outcome: 'silent', detail: '', finalReason: 'timeout', mayRetry: isRepeatable(route),
-				});
+				return {
+					kind: 'failed', endpoint, outcome: 'not-run', detail: String(result.status), retryAfterS: result.retryAfterS, finalReason: 'not-run', retry: 'budgeted',
+				};
 			}
 
 			case 'unknown': {
 				this.#recordOutcome(endpoint.id, 'broken');
-				await this.#checkCrash(endpoint);
-				return this.#handleFailure(route, endpoint, {
-					outcome: 'unknown', detail: result.reason, finalReason: 'unknown-outcome', mayRetry: isRepeatable(route),
-				});
+				await this.#checkCrash(endpoint, attempt);
+				return {
+					kind: 'failed', endpoint, outcome: 'unknown', detail: result.reason, finalReason: 'unknown-outcome', retry: repeatOf(route),
+				};
 			}
 
 			case 'response': {
-				return this.#handleResponse(route, endpoint, result);
+				return this.#handleResponse(route, endpoint, attempt, result);
 			}
 
 			case 'stream': {
-				return this.#relayStream(route, endpoint, result);
+				return this.#relayStream(route, endpoint, attempt, result);
 			}
 		}
 	}
 
 	/** Admits the request by what may crash endpoints. A stream that has begun anywhere crashes no endpoint. */
-	async #admitCauses(): Promise<CauseAdmission> {
-		return this.#stream === undefined ? this.#context.crashGuard.admit(this.#crashCauses, this.#probedCauses) : {kind: 'admitted', probed: []};
+	async #admitCauses({probedCauses}: Attempt): Promise<CauseAdmission> {
+		return this.#progress.hasBegun ? {kind: 'admitted', probed: []} : this.#context.crashGuard.admit(this.#crashCauses, probedCauses);
 	}
 
 	/** Checks an endpoint that broke off. A stream that has begun anywhere did not crash it. */
-	async #checkCrash(endpoint: EndpointRecord): Promise<void> {
-		if (this.#stream === undefined) {
-			await this.#context.crashGuard.checkCrash(endpoint, this.#crashCauses, this.#probedCauses);
-			this.#probedCauses = [];
+	async #checkCrash(endpoint: EndpointRecord, attempt: Attempt): Promise<void> {
+		if (!this.#progress.hasBegun) {
+			await this.#context.crashGuard.checkCrash(endpoint, this.#crashCauses, attempt.probedCauses);
+			attempt.probedCauses = [];
 		}
 	}
 
-	#handleNotSent(endpoint: EndpointRecord, {reason, isForbidden}: Extract<AttemptResult, {kind: 'not-sent'}>): FinalResult | 'retry' {
+	#handleNotSent(endpoint: EndpointRecord, {reason, isForbidden}: Extract<AttemptResult, {kind: 'not-sent'}>): FailedAttempt {
 		if (isForbidden) {
 			// The endpoint got nothing and is not to blame; with a new permission it may be tried again.
 			this.#triedEndpoints.delete(endpoint.id);
@@ -446,20 +616,9 @@
 		}
 
 		this.#connectFailures += 1;
-		const retry = this.#connectFailures < MAX_CONNECT_FAILURES ? 'taken' : 'attempts-used';
-		this.#recordAttemptFailure(endpoint, {outcome: 'not-sent', detail: reason, retry});
-		if (retry === 'taken' && this.#maySend()) {
-			return 'retry';
-		}
-
-		return this.#fail(this.#maySend() ? 'unreachable' : 'stale-keys');
-	}
-
-	#handleFailure(route: Route, endpoint: EndpointRecord, {finalReason, mayRetry, ...failure}: AttemptFailure & {readonly finalReason: RefusalReason; readonly mayRetry: boolean}): FinalResult | 'retry' {
-		this.#failureDetail = `${failure.outcome} ${failure.detail} at ${endpoint.id}`;
-		const retry = mayRetry ? this.#takeRetry(route) : 'not-repeatable';
-		this.#recordAttemptFailure(endpoint, {...failure, retry});
-		return retry === 'taken' ? 'retry' : this.#fail(finalReason);
+		return {
+			kind: 'failed', endpoint, outcome: 'not-sent', detail: reason, finalReason: this.#maySend() ? 'unreachable' : 'stale-keys', retry: 'free',
+		};
 	}
 
 	/** Takes one retry from the retry budget if the route, the remaining time and the budget permit it. */
@@ -468,38 +627,45 @@
 			return 'attempts-used';
 		}
 
-		if (this.#remainingMs(route) < MIN_ATTEMPT_MS) {
+		if (this.#remainingMs(route) < MIN_ATTEMPT_MS || !this.#isCallerPatient(route)) {
 			return 'no-time';
 		}
 
 		return this.#context.budgetOf(this.#service).consumeRetry(this.#monotonicNow()) ? 'taken' : 'budget-used';
 	}
 
-	#handleResponse(route: Route, endpoint: EndpointRecord, response: Extract<AttemptResult, {kind: 'response'}>): FinalResult | 'retry' {
+	#handleResponse(route: Route, endpoint: EndpointRecord, attempt: Attempt, response: Extract<AttemptResult, {kind: 'response'}>): AttemptEnd {
 		if (response.isSigned) {
-			this.#context.crashGuard.recordBegun(this.#crashCauses, this.#probedCauses);
+			this.#context.crashGuard.recordBegun(this.#crashCauses, attempt.probedCauses);
 		}
 
 		const isSuccess = response.status >= 200 && response.status < 300;
 		if (isSuccess && !response.isSigned) {
 			this.#recordOutcome(endpoint.id, 'broken');
-			return this.#handleFailure(route, endpoint, {
-				outcome: 'unsigned', detail: String(response.status), finalReason: 'unknown-outcome', mayRetry: isRepeatable(route),
-			});
+			return {
+				kind: 'failed', endpoint, outcome: 'unsigned', detail: String(response.status), finalReason: 'unknown-outcome', retry: repeatOf(route),
+			};
 		}
 
 		this.#recordOutcome(endpoint.id, response.status >= 500 ? 'failed' : 'answered');
 		const retryReason = response.status >= 500 ? 'failed' : (response.isUnframed ? 'unframed' : undefined);
-		if (retryReason !== undefined && isRepeatable(route) && this.#takeRetry(route) === 'taken') {
-			this.#recordAttemptFailure(endpoint, {outcome: retryReason, detail: String(response.status), retry: 'taken'});
-			return 'retry';
+		if (retryReason !== undefined || this.#callerResponse.isStarted) {
+			return {
+				kind: 'failed',
+				endpoint,
+				outcome: retryReason ?? 'answered on resuming',
+				detail: String(response.status),
+				finalReason: 'unknown-outcome',
+				retry: retryReason === undefined ? 'none' : repeatOf(route),
+				// Once part of a stream has been sent to the caller, a failure can only close the connection.
+				respond: () => this.#callerResponse.isStarted ? this.#cutOffResponse(endpoint, `answer ${response.status} on resuming`) : this.#respond(endpoint, response),
+			};
 		}
 
-		// Once part of a stream has been sent to the caller, a failure can only close the connection.
-		if (this.#callerResponse.isStarted) {
-			return this.#cutOffResponse(endpoint, `answer ${response.status} on resuming`);
-		}
+		return attempt.claim() ? this.#respond(endpoint, response) : {kind: 'no-retry'};
+	}
 
+	#respond(endpoint: EndpointRecord, response: Extract<AttemptResult, {kind: 'response'}>): {readonly kind: 'done'} {
 		this.#firstByteMs = this.#elapsedMs();
 		const headers = this.#context.dialect.headersToCaller(response.rawHeaders);
 		if (response.isUnframed) {
@@ -512,35 +678,31 @@
 		return {kind: 'done'};
 	}
 
-	async #relayStream(route: Route, endpoint: EndpointRecord, {res, exchange}: Extract<AttemptResult, {kind: 'stream'}>): Promise<FinalResult | 'retry'> {
-		const isFirst = !this.#callerResponse.isStarted;
-		if (isFirst) {
-			this.#firstByteMs = this.#elapsedMs();
-		}
-
+	async #relayStream(route: Route, endpoint: EndpointRecord, attempt: Attempt, {res, exchange}: Extract<AttemptResult, {kind: 'stream'}>): Promise<AttemptEnd> {
 		const result: RelayResult = await this.#relay({
 			res,
 			exchange,
 			callerResponse: this.#callerResponse,
-			head: isFirst ? this.#context.dialect.headersToCaller(res.rawHeaders) : undefined,
-			lastEventId: this.#lastEventId,
+			head: this.#context.dialect.headersToCaller(res.rawHeaders),
+			progress: this.#progress,
 			isResumable: isRepeatable(route),
-			previousEventAt: this.#stream === undefined ? undefined : this.#lastEventAt,
-			inactivityTimeoutMs: this.#inactivityTimeoutMs(route),
-			remainingMs: this.#remainingMs(route),
-			requestsEnded: this.#context.shutdown.requestsEnded,
+			silenceMs: this.#streamSilenceMs(route),
+			signal: attempt.signal,
 			buffers: this.#context.buffers,
+			claim: () => {
+				this.#firstByteMs = this.#callerResponse.isStarted ? this.#firstByteMs : this.#elapsedMs();
+				return attempt.claim();
+			},
+			onSilent() {
+				attempt.noteSilent(endpoint);
+			},
 			onFirstEvent: () => {
-				this.#context.crashGuard.recordBegun(this.#crashCauses, this.#probedCauses);
+				this.#context.crashGuard.recordBegun(this.#crashCauses, attempt.probedCauses);
 			},
 			onGap: gapMs => {
 				this.#context.capacityOf(this.#service).record(gapMs, () => this.#serviceLoad(), this.#monotonicNow());
 			},
 		});
-		this.#lastEventId = result.lastEventId;
-		this.#lastEventAt = result.lastEventAt;
-		this.#lastByteAt = result.lastByteAt;
-		this.#addToStreamSummary(route, result);
 		if (result.kind !== 'complete') {
 			exchange.abort();
 		}
@@ -553,21 +715,17 @@
 				return {kind: 'done'};
 			}
 
-			case 'caller-left': {
-				return {kind: 'done'};
-			}
-
-			case 'out-of-time': {
-				return this.#failTimedOut();
+			case 'aborted': {
+				return {kind: 'no-retry'};
 			}
 
 			case 'broken': {
 				this.#recordOutcome(endpoint.id, 'broken');
-				await this.#checkCrash(endpoint);
+				await this.#checkCrash(endpoint, attempt);
 				await this.#context.groups.check(this.#service);
-				return this.#handleFailure(route, endpoint, {
-					outcome: 'stream broke', detail: result.reason, finalReason: 'unknown-outcome', mayRetry: isRepeatable(route),
-				});
+				return {
+					kind: 'failed', endpoint, outcome: 'stream broke', detail: result.reason, finalReason: 'unknown-outcome', retry: repeatOf(route),
+				};
 			}
 		}
 	}
@@ -582,34 +740,30 @@
 		}
 	}
 
-	#addToStreamSummary({kind}: Route, {events, longestGapMs}: RelayResult): void {
-		if (events > 0) {
-			this.#stream = {
-				events: (this.#stream?.events ?? 0) + events,
-				longestGapMs: Math.max(this.#stream?.longestGapMs ?? 0, Math.round(longestGapMs)),
-				targetGapMs: kind.kind === 'stream' ? kind.targetGapMs : undefined,
-			};
-		}
+	/** Ends the request when no attempt is open and none can be made. */
+	#end(reason: RefusalReason, detail = ''): FinalResult {
+		const response = this.#callerResponse.isStarted ? undefined : this.#respondWithFailure?.();
+		return response ?? this.#fail(reason, detail);
 	}
 
-	/** Ends the request when no further attempt can be made. */
+	/** Ends the request without an endpoint's answer. */
 	#fail(reason: RefusalReason, detail = ''): FinalResult {
 		if (this.#callerResponse.isStarted) {
 			return this.#cutOffResponse(undefined, reason);
 		}
 
 		// The refusal would promise that the request did not run, which is not known after an attempt with an unknown outcome.
-		return {kind: 'refuse', reason: (this.#mayHaveRun || this.#hasUnsettledAttempt) && refusalOf(reason).isNotRun ? 'unknown-outcome' : reason, detail: this.#failureDetail === '' ? detail : this.#failureDetail};
+		return {kind: 'refuse', reason: (this.#mayHaveRun || this.#unsettledAttempts > 0) && refusalOf(reason).isNotRun ? 'unknown-outcome' : reason, detail: this.#failureDetail === '' ? detail : this.#failureDetail};
 	}
 
 	#failTimedOut(): FinalResult {
-		return this.#fail(this.#attempts === 0 ? 'timeout-before-sent' : 'timeout');
+		return this.#attempts === 0 ? this.#end('timeout-before-sent') : this.#end('timeout', `silent at ${this.#lastEndpoint}`);
 	}
 
 	#cutOffResponse(endpoint: EndpointRecord | undefined, reason: string): FinalResult {
 		this.#callerResponse.destroy();
 		this.#context.events.record({
-			kind: 'cut', facts: this.#summary(), endpoint: endpoint?.id ?? this.#lastEndpoint, reason, lastEventId: this.#lastEventId, ages: this.#cutAges(),
+			kind: 'cut', facts: this.#summary(), endpoint: endpoint?.id ?? this.#lastEndpoint, reason, lastEventId: this.#progress.lastEventId, ages: this.#cutAges(),
 		});
 		return {kind: 'done'};
 	}
@@ -618,7 +772,7 @@
 		const now = this.#monotonicNow();
 		const ageOf = (at: number | undefined) => at === undefined ? undefined : Math.round(now - at);
 		const stopAgeMs = this.#context.shutdown.ageMs;
-		return {sinceEventMs: ageOf(this.#lastEventAt), sinceByteMs: ageOf(this.#lastByteAt), sinceStopMs: stopAgeMs === undefined ? undefined : Math.round(stopAgeMs)};
+		return {sinceEventMs: ageOf(this.#progress.lastEventAt), sinceByteMs: ageOf(this.#progress.lastByteAt), sinceStopMs: stopAgeMs === undefined ? undefined : Math.round(stopAgeMs)};
 	}
 
 	#refuse(reason: RefusalReason, detail: string): void {
@@ -638,7 +792,7 @@
 		this.#context.health.record(id, outcome, this.#monotonicNow());
 	}
 
-	#recordAttemptFailure(endpoint: EndpointRecord, {outcome, detail, retryAfterS, retry}: AttemptFailure & {readonly retry: RetryDecision}): void {
+	#recordAttemptFailure({endpoint, outcome, detail, retryAfterS, retry}: AttemptFailure & {readonly endpoint: EndpointRecord; readonly retry: RetryDecision}): void {
 		this.#context.events.record({
 			kind: 'attempt-failed', requestId: this.#req.id, fingerprint: this.#fingerprint, attempt: this.#attempts, endpoint: endpoint.id, outcome, detail, inFlight: this.#context.load.inFlight(endpoint.id, this.#monotonicNow()), retryAfterS, retry,
 		});
@@ -662,7 +816,7 @@
 			configAgeMs: Number.isFinite(age) ? Math.round(age) : undefined,
 			attempts: this.#attempts,
 			elapsedMs: Math.round(this.#elapsedMs()),
-			stream: this.#stream,
+			stream: this.#progress.summary(this.#route?.kind.kind === 'stream' ? this.#route.kind.targetGapMs : undefined),
 		};
 	}
 
@@ -676,7 +830,7 @@
 
 	/** Time since the last event was forwarded to the caller, or since the request arrived, in ms. */
 	#sinceProgressMs(): number {
-		return this.#monotonicNow() - (this.#lastEventAt ?? this.#startedAt.monotonicMs);
+		return this.#monotonicNow() - (this.#progress.lastEventAt ?? this.#startedAt.monotonicMs);
 	}
 
 	#callerRemainingMs(): number {
@@ -694,6 +848,14 @@
 	}
 }
 
+function notBegun(reason: RefusalReason, detail = ''): AttemptEnd {
+	return {kind: 'not-begun', reason, detail};
+}
+
+function repeatOf(route: Route): FailedAttempt['retry'] {
+	return isRepeatable(route) ? 'budgeted' : 'none';
+}
+
 /** Whether a request with an unknown outcome may be sent again. */
 function isRepeatable({kind}: Route): boolean {
 	return kind.kind === 'idempotent' || (kind.kind === 'stream' && kind.resumable);
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -4,101 +4,92 @@
 import type {BufferBudget} from './buffer-budget.js';
 import type {CallerResponse} from './caller-response.js';
 import type {Exchange} from './exchange.js';
+import type {StreamProgress} from './stream-progress.js';
 import {EventSplitter} from '#dispatch';
 
 /** Largest event that is buffered until it is complete, in bytes; more without the end of an event is no event stream. */
 const MAX_EVENT_BYTES = 1024 * 1024;
 
-type RelayOutcome
+/** How the relay of one endpoint's stream ended. */
+export type RelayResult
 	= | {readonly kind: 'complete'}
 		| {readonly kind: 'broken'; readonly reason: string}
-		| {readonly kind: 'out-of-time'}
-		| {readonly kind: 'caller-left'};
-
-/** How the relay of one endpoint's stream ended. */
-export type RelayResult = {
-	readonly lastEventId: number | undefined;
-	/** When the last event was forwarded, or the relay began, in monotonic ms. */
-	readonly lastEventAt: number;
-	/** When the endpoint last sent a byte, or the relay began, in monotonic ms. */
-	readonly lastByteAt: number;
-	/** Number of events forwarded. */
-	readonly events: number;
-	/** Longest time between two events that the caller has received, in ms, over all endpoints of the stream. */
-	readonly longestGapMs: number;
-} & RelayOutcome;
+		| {readonly kind: 'aborted'};
 
 export type RelayInput = {
 	readonly res: IncomingMessage;
 	readonly exchange: Exchange;
 	readonly callerResponse: CallerResponse;
-	/** Head for the caller, sent with the first event; undefined if the head of an earlier endpoint's stream was sent. */
-	readonly head: readonly string[] | undefined;
-	/** Id of the last event that the caller has. */
-	readonly lastEventId: number | undefined;
+	/** Head for the caller, sent with the first event unless the head of another endpoint's stream was sent. */
+	readonly head: readonly string[];
+	/** What the caller has received; updated as events are forwarded. */
+	readonly progress: StreamProgress;
 	/** Whether the stream may be resumed, for which each event needs an id. */
 	readonly isResumable: boolean;
-	/** When an earlier endpoint's last event was forwarded, in monotonic ms; undefined if the caller has no event yet. */
-	readonly previousEventAt: number | undefined;
-	/** Time without a complete event after which a stream counts as broken, in ms: before its first event, and between later ones. */
-	readonly inactivityTimeoutMs: {readonly first: number; readonly later: number};
-	/** Time left for the whole stream, in ms. */
-	readonly remainingMs: number;
-	/** Aborts when the requests of a stopping entry have to end. */
-	readonly requestsEnded: AbortSignal;
+	/** Times without a complete event after which the endpoint counts as silent, in ms: before its first event, and between later ones; undefined if it never does. */
+	readonly silenceMs: {readonly first: number; readonly later: number} | undefined;
+	/** Ends the relay. */
+	readonly signal: AbortSignal;
 	/** Limits what all responses hold. */
 	readonly buffers: BufferBudget;
+	/** Called before anything is sent to the caller; if false, another endpoint's stream is relayed to it. */
+	readonly claim: () => boolean;
+	/** Called when the endpoint counts as silent; the relay goes on. */
+	readonly onSilent: () => void;
 	/** Called when the first event arrives. */
 	readonly onFirstEvent: () => void;
 	/** Called with the time between two events of this endpoint, in ms. */
 	readonly onGap: (gapMs: number) => void;
 };
 
-export async function relayStream({res, exchange, callerResponse, head, lastEventId, isResumable, previousEventAt, inactivityTimeoutMs, remainingMs, requestsEnded, buffers, onFirstEvent, onGap}: RelayInput): Promise<RelayResult> {
+export async function relayStream({res, exchange, callerResponse, head, progress, isResumable, silenceMs, signal, buffers, claim, onSilent, onFirstEvent, onGap}: RelayInput): Promise<RelayResult> {
 	const share = buffers.open();
-	const splitter = EventSplitter.create(lastEventId, isResumable || lastEventId !== undefined);
-	let lastEventAt = performance.now();
-	let lastByteAt = lastEventAt;
-	let gapStartedAt = previousEventAt;
-	let events = 0;
-	let longestGapMs = 0;
-	let isHeadSent = head === undefined;
+	const splitter = EventSplitter.create(progress.lastEventId, isResumable || progress.lastEventId !== undefined);
+	let lastEventAt: number | undefined;
+	let isClaimed = false;
 	let isFinished = false;
 	return new Promise((resolve, reject) => {
-		const finish = (outcome: RelayOutcome) => {
+		const finish = (result: RelayResult) => {
 			stopListening();
-			resolve({
-				...outcome, lastEventId: splitter.lastId, lastEventAt, lastByteAt, events, longestGapMs,
-			});
+			resolve(result);
 		};
 
 		const stopListening = () => {
 			isFinished = true;
 			share.release();
-			clearTimeout(deadlineTimer);
-			clearTimeout(inactivityTimer);
-			callerResponse.disconnected.removeEventListener('abort', onDisconnect);
-			requestsEnded.removeEventListener('abort', onOutOfTime);
+			clearTimeout(silenceTimer);
+			signal.removeEventListener('abort', onAbort);
 			res.off('data', onSourceData).off('end', onSourceEnd).off('close', onClose);
 		};
 
-		const sendHead = () => {
-			if (!isHeadSent) {
-				isHeadSent = true;
-				callerResponse.startStream(200, head ?? []);
+		const startSilenceTimer = (ms: number | undefined) => ms === undefined ? undefined : setTimeout(onSilent, ms);
+		let silenceTimer = startSilenceTimer(silenceMs?.first);
+
+		/** Claims the caller, and sends the head unless it was sent. */
+		const claimCaller = () => {
+			isClaimed = claim();
+			if (!isClaimed) {
+				finish({kind: 'aborted'});
+			} else if (!callerResponse.isStarted) {
+				callerResponse.startStream(200, head);
 			}
+
+			return isClaimed;
 		};
 
 		const onData = (chunk: Uint8Array) => {
-			lastByteAt = performance.now();
+			progress.lastByteAt = performance.now();
 			const {bytes, count, fault} = splitter.push(chunk);
 			if (count > 0) {
+				if (!claimCaller()) {
+					return;
+				}
+
 				recordEvents(count);
-				sendHead();
 			}
 
-			// The head is sent with the first event, so that another endpoint's may be sent until then; earlier comments are dropped.
-			const isWritable = bytes.length === 0 || !isHeadSent || callerResponse.write(bytes);
+			// Comments before the first event are dropped: until then, another endpoint's stream may be relayed.
+			const isWritable = bytes.length === 0 || !isClaimed || callerResponse.write(bytes);
 			if (fault !== undefined || splitter.pendingBytes > MAX_EVENT_BYTES || !share.resize(splitter.pendingBytes)) {
 				finish({kind: 'broken', reason: fault ?? 'event too long'});
 				return;
@@ -112,28 +103,26 @@
 		/** Stops reading while the caller reads too slowly; the source is not to blame for that time. */
 		const pauseUntilDrained = async () => {
 			res.pause();
-			clearTimeout(inactivityTimer);
+			clearTimeout(silenceTimer);
 			await callerResponse.drained();
 			if (!isFinished) {
-				inactivityTimer = setTimeout(onInactivity, inactivityTimeoutMs.later);
+				silenceTimer = startSilenceTimer(silenceMs?.later);
 				res.resume();
 			}
 		};
 
 		const recordEvents = (count: number) => {
-			clearTimeout(inactivityTimer);
-			inactivityTimer = setTimeout(onInactivity, inactivityTimeoutMs.later);
-			const previousAt = lastEventAt;
-			lastEventAt = performance.now();
-			if (events === 0) {
+			clearTimeout(silenceTimer);
+			silenceTimer = startSilenceTimer(silenceMs?.later);
+			const now = performance.now();
+			if (lastEventAt === undefined) {
 				onFirstEvent();
 			} else {
-				onGap(lastEventAt - previousAt);
+				onGap(now - lastEventAt);
 			}
 
-			longestGapMs = Math.max(longestGapMs, lastEventAt - (gapStartedAt ?? lastEventAt));
-			gapStartedAt = lastEventAt;
-			events += count;
+			lastEventAt = now;
+			progress.recordEvents(count, splitter.lastId, now);
 		};
 
 		const onEnd = () => {
@@ -147,30 +136,20 @@
 				return;
 			}
 
-			sendHead();
-			finish({kind: 'complete'});
+			if (claimCaller()) {
+				finish({kind: 'complete'});
+			}
 		};
 
 		const onClose = () => {
 			finish({kind: 'broken', reason: 'connection closed'});
 		};
 
-		const onDisconnect = () => {
-			finish({kind: 'caller-left'});
-		};
-
-		const onInactivity = () => {
-			finish({kind: 'broken', reason: 'silent'});
-		};
-
-		let inactivityTimer = setTimeout(onInactivity, inactivityTimeoutMs.first);
-		const onOutOfTime = () => {
-			finish({kind: 'out-of-time'});
+		const onAbort = () => {
+			finish({kind: 'aborted'});
 		};
 
-		const deadlineTimer = setTimeout(onOutOfTime, Math.max(0, remainingMs));
-		requestsEnded.addEventListener('abort', onOutOfTime, {once: true});
-		callerResponse.disconnected.addEventListener('abort', onDisconnect, {once: true});
+		signal.addEventListener('abort', onAbort, {once: true});
 		res.on('error', () => {
 			// 'close' follows and ends the relay.
 		});
@@ -186,5 +165,8 @@
 
 		const [onSourceData, onSourceEnd] = [relayed(onData), relayed(onEnd)];
 		res.on('data', onSourceData).once('end', onSourceEnd).once('close', onClose);
+		if (signal.aborted) {
+			onAbort();
+		}
 	});
 }
