--- a/packages/gateway/src/backlog-probe.ts
+++ b/packages/gateway/src/backlog-probe.ts
@@ -10,6 +10,9 @@
 /** The backlog is probed once it may have held connections for this long, in ms. */
 const MIN_BACKLOG_AGE_MS = 20;
 
+/** Time after which a probe that was not accepted is given up, in ms: its opening packet was dropped, since the backlog is full. */
+const PROBE_TIMEOUT_MS = 3000;
+
 type Probe = {readonly startedAt: Instant; readonly socket: Socket};
 
 export class BacklogProbe {
@@ -53,6 +56,9 @@
 		const probe: Probe = {startedAt: this.#now(), socket: connect(this.#listener)};
 		this.#probe = probe;
 		probe.socket.on('error', () => undefined);
+		probe.socket.setTimeout(PROBE_TIMEOUT_MS, () => {
+			probe.socket.destroy();
+		});
 		probe.socket.once('connect', () => {
 			const connection = this.#accepted.get(probe.socket.localPort ?? 0);
 			this.#accepted.clear();
