Don't count a delay of the event loop as a connection that timed out

Callers saw: 503 unreachable in a burst, although the endpoint was there and idle.

Cause: the timers of connections run before the poll that delivers their events. After 400 ms in which the event loop was busy, connections that had been established meanwhile were closed as timed out, and after three of these a request was refused.

A timeout now waits for the poll that follows it.

--- a/packages/gateway/__tests__/unit/connection-pool.test.ts
+++ b/packages/gateway/__tests__/unit/connection-pool.test.ts
@@ -1,9 +1,33 @@
 /** Reuse of idle connections. */
 import {once} from 'node:events';
 import {createServer, type AddressInfo} from 'node:net';
+import process from 'node:process';
 import t from 'tap';
 import {ConnectionPool} from '../../src/connection-pool.js';
 
+/** Longer than the timeout for establishing a connection, in ms. */
+const BLOCKED_MS = 600;
+
+void t.test('a connection that is established while the event loop is blocked has not timed out', async t => {
+	const server = createServer();
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const stop = new AbortController();
+	const pool = ConnectionPool.create(() => performance.now(), stop.signal);
+	const opening = pool.acquire({id: 'e1', address: `127.0.0.1:${(server.address() as AddressInfo).port}`}, {isNewRequired: true, timeoutMs: 1000});
+	process.nextTick(() => {
+		Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, BLOCKED_MS);
+	});
+	const opened = await opening;
+	t.equal(opened.kind, 'connected');
+	if (opened.kind === 'connected') {
+		opened.socket.destroy();
+	}
+
+	stop.abort();
+	server.close();
+});
+
 void t.test('a connection that is reused many times accumulates no listeners', async t => {
 	const server = createServer(socket => {
 		socket.on('error', () => undefined);
--- a/packages/gateway/src/connection-pool.ts
+++ b/packages/gateway/src/connection-pool.ts
@@ -121,6 +121,7 @@
 	return new Promise(resolve => {
 		const finish = (result: AcquiredConnection) => {
 			clearTimeout(timeoutTimer);
+			clearImmediate(timeoutImmediate);
 			socket.removeAllListeners('error').removeAllListeners('connect');
 			if (result.kind === 'failed') {
 				socket.on('error', () => {
@@ -132,8 +133,12 @@
 			resolve(result);
 		};
 
+		let timeoutImmediate: NodeJS.Immediate | undefined;
 		const timeoutTimer = setTimeout(() => {
-			finish({kind: 'failed', reason: 'connect timeout'});
+			// After a delay of the event loop, the connection may be established, but not polled yet.
+			timeoutImmediate = setImmediate(() => {
+				finish({kind: 'failed', reason: 'connect timeout'});
+			});
 		}, timeoutMs);
 		socket.once('connect', () => {
 			finish({kind: 'connected', socket, isReused: false});
