A reset that Node reports as an end no longer completes a response without a length

A caller could get a 2xx with an empty or short body as if it were the whole one: a response without a length ends with its connection, and one that is reset on the way isn't complete. libuv reports a reset that is polled together with the last bytes as the end of the stream, so neither the request nor the response saw an error. (With a reset 5 ms later both did, which is what the existing case tests.)

Shown by cut-responses.test.ts, which stops responses at each byte with FIN, FIN after 20 ms and RST, on new and on kept connections.

At the end of a response without a length the entry now writes an empty line, which a closed connection takes and a reset one refuses. It is written only there; the connection is not used again in any case.

--- /dev/null
+++ b/packages/gateway/__tests__/unit/cut-responses.test.ts
@@ -0,0 +1,83 @@
+/** Responses of endpoints that stop at any byte; guards against a truncated response that the caller gets as a complete one. */
+import {Buffer} from 'node:buffer';
+import t from 'tap';
+import {runAttempt, type AttemptResult} from '../../src/attempt.js';
+import {BufferBudget} from '../../src/buffer-budget.js';
+import {ConnectionPool} from '../../src/connection-pool.js';
+import {response, testDialect} from '../gateway-harness.js';
+import type {EndpointRecord} from '#dispatch';
+import {
+	createResponses, CuttingServer, forEachCut, type Cut,
+} from '#harness';
+
+const BODY = '{"answer":"whole"}';
+const HEADERS = 'X-Request-Id: q1\r\nX-Signed: s\r\n';
+
+const responses = [
+	...createResponses(HEADERS, BODY),
+	{name: 'no content', message: `HTTP/1.1 204 No Content\r\n${HEADERS}\r\n`, isUnframed: false},
+	{name: 'a failure', message: response('q1', 'failed', '500 Internal Server Error'), isUnframed: false},
+	{name: 'a refusal', message: response('q1', 'full', '503 Service Unavailable', 'X-Not-Run: 1\r\n'), isUnframed: false},
+];
+
+async function attempt(pool: ConnectionPool, address: string): Promise<AttemptResult> {
+	const endpoint: EndpointRecord = {
+		id: address, service: 'texts', address, zone: 'a', slots: 4, isLeaving: false, startedAt: 1, revision: 1,
+	};
+	return runAttempt({
+		req: testDialect.readRequest('GET', '/', {host: 'h', 'x-request-id': 'q1'}, []),
+		body: Buffer.alloc(0),
+		endpoint,
+		forwarding: {
+			endpointId: 'e1', workspace: undefined, priority: 1, lastEventId: undefined,
+		},
+		isStream: false,
+		mayReuseConnection: true,
+		remainingMs: () => 5000,
+		responseTimeoutMs: 5000,
+		maySend: () => true,
+		callerDisconnected: new AbortController().signal,
+		requestsEnded: new AbortController().signal,
+		buffers: BufferBudget.create(),
+		onSending: () => undefined,
+		onResponse: () => undefined,
+	}, pool, testDialect);
+}
+
+async function attemptCut(connection: 'kept' | 'new', message: string, cut: Cut): Promise<{readonly result: AttemptResult; readonly cuts: number}> {
+	const stop = new AbortController();
+	const server = await CuttingServer.create({replies: connection === 'kept' ? [response('q1', 'first'), message] : [message], cut});
+	const pool = ConnectionPool.create(() => performance.now(), stop.signal);
+	if (connection === 'kept') {
+		await attempt(pool, server.address);
+	}
+
+	const result = await attempt(pool, server.address);
+	server.close();
+	stop.abort();
+	return {result, cuts: server.cuts};
+}
+
+for (const {name, message, isUnframed} of responses) {
+	for (const connection of ['new', 'kept'] as const) {
+		void t.test(`${name}, on a ${connection} connection`, async t => {
+			const headEnd = message.lastIndexOf('\r\n\r\n') + 4;
+			const wrong: unknown[] = [];
+			await forEachCut(message, async cut => {
+				const {result, cuts} = await attemptCut(connection, message, cut);
+				// Only the caller can judge an unframed body; it must not get another framing.
+				const isTrue = result.kind === 'unknown'
+					|| (result.kind === 'response' && isUnframed && result.isUnframed && cut.end !== 'rst' && cut.position >= headEnd)
+					|| (result.kind === 'not-run' && cut.position >= headEnd);
+				if (!isTrue || cuts !== 1) {
+					wrong.push({...cut, cuts, result: result.kind});
+				}
+			});
+			t.same(wrong, []);
+			if (isUnframed) {
+				const {result} = await attemptCut(connection, message, {position: message.length, end: 'fin'});
+				t.match(result, {kind: 'response', isUnframed: true}, 'closed after its last byte');
+			}
+		});
+	}
+}
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -5,7 +5,7 @@
 import type {
 	CallerRequest, Dialect, ForwardingInfo, ResponseHead,
 } from './dialect.js';
-import {Exchange, readResponseBody} from './exchange.js';
+import {Exchange, isUnframed, readResponseBody} from './exchange.js';
 import type {EndpointRecord} from '#dispatch';
 
 /** Result of an attempt. */
@@ -188,8 +188,3 @@
 
 	return undefined;
 }
-
-/** Whether only the end of the connection delimits the body of this response. */
-export function isUnframed({headers}: IncomingMessage): boolean {
-	return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
-}
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -18,6 +18,9 @@
 	readonly body: Uint8Array;
 };
 
+/** Written to a connection that has ended; servers ignore an empty line before a request. */
+const PROBE_LINE = '\r\n';
+
 export class Exchange {
 	/** Sends a request on an open connection. */
 	static create(target: ConnectionTarget, socket: Socket, pool: ConnectionPool, outgoing: OutgoingRequest): Exchange {
@@ -29,6 +32,7 @@
 	readonly #req: ClientRequest;
 	readonly #socket: Socket;
 	#hasFailed = false;
+	#endCheck: Promise<void> | undefined;
 
 	private constructor(target: ConnectionTarget, socket: Socket, pool: ConnectionPool, outgoing: OutgoingRequest) {
 		this.#socket = socket;
@@ -46,6 +50,12 @@
 			let response: IncomingMessage | undefined;
 			this.#req.once('response', res => {
 				response = res;
+				if (isUnframed(res)) {
+					socket.prependOnceListener('end', () => {
+						this.#endCheck = this.#checkEnd();
+					});
+				}
+
 				resolve({kind: 'head', res});
 			});
 			this.#req.on('error', err => {
@@ -70,12 +80,33 @@
 		return this.#hasFailed;
 	}
 
+	/** Returns `isBroken` at the end of a response, also if the connection was reset and Node reports that as its end. */
+	async checkIsBroken(): Promise<boolean> {
+		await this.#endCheck;
+		return this.#hasFailed;
+	}
+
 	/** Closes the connection; the endpoint drops the request. */
 	abort(): void {
 		this.#hasFailed = true;
 		this.#req.destroy();
 		this.#socket.destroy();
 	}
+
+	/** A reset that is polled together with the last bytes is reported as an end; a write on the connection fails only after a reset. */
+	async #checkEnd(): Promise<void> {
+		return new Promise(resolve => {
+			this.#socket.write(PROBE_LINE, err => {
+				this.#hasFailed ||= Boolean(err);
+				resolve();
+			});
+		});
+	}
+}
+
+/** Whether only the end of the connection delimits the body of this response. */
+export function isUnframed({headers}: IncomingMessage): boolean {
+	return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
 }
 
 function keepAliveTimeoutMs(keepAlive: string | string[] | undefined): number | undefined {
@@ -111,14 +142,20 @@
 			resolve(undefined);
 			exchange.abort();
 		});
+		let hasEnded = false;
 		res.once('end', () => {
-			resolve(res.complete && !exchange.isBroken ? Buffer.concat(chunks) : undefined);
+			hasEnded = true;
+			void exchange.checkIsBroken().then(isBroken => {
+				resolve(res.complete && !isBroken ? Buffer.concat(chunks) : undefined);
+			});
 		});
 		res.on('error', () => {
 			// 'close' follows and settles the promise.
 		});
 		res.once('close', () => {
-			resolve(undefined);
+			if (!hasEnded) {
+				resolve(undefined);
+			}
 		});
 	});
 }
--- a/packages/harness/src/index.ts
+++ b/packages/harness/src/index.ts
@@ -9,3 +9,6 @@
 export {
 	Caller, errorOf, isCompleteStream, type CallError, type ChatOptions, type CallerResponse,
 } from './caller.js';
+export {
+	createResponses, CuttingServer, forEachCut, sendCut, type ConnectionEnd, type Cut, type HttpMessage,
+} from './cutting-server.js';
