Own stack: a response without a length is no longer passed on as a complete one

A caller of mimosamountd got a 2xx with an empty or short body and a Content-Length of what had arrived, when a back end that sends no length (or a transfer coding that delimits nothing) was cut off in its body. undici takes the end of the connection, and even a reset, for the end of such a body, and the entry frames what it buffered.

The client of the back end now refuses such a response at its head, before anything of it is passed on. Whether the request ran is unknown, which is what the caller hears (502); it doesn't count as a crash of the engine. Passing it on without a length was ruled out since undici hides resets. A back end has to send a length or chunks.

--- a/packages/endpoint/src/endpoint.ts
+++ b/packages/endpoint/src/endpoint.ts
@@ -365,6 +365,13 @@
 				return;
 			}
 
+			case 'unframed': {
+				this.#log.warn('back end sent a response that cannot be passed on', {requestId, detail: result.message});
+				await this.#engine?.cancel(requestId);
+				sendFailed('backend-error', 'unknown');
+				return;
+			}
+
 			case 'lost': {
 				await this.#sendLost(key, run);
 			}
--- a/packages/endpoint/src/work-run.ts
+++ b/packages/endpoint/src/work-run.ts
@@ -21,6 +21,8 @@
 		| {readonly kind: 'rejected'; readonly status: number}
 	/** The connection to the back end was lost; whether the request completed is unknown. */
 		| {readonly kind: 'lost'; readonly message: string}
+	/** The back end responded in a way that cannot be passed on. */
+		| {readonly kind: 'unframed'; readonly message: string}
 	/** The response of a repeated run differs from, or is shorter than, what the caller already received. */
 		| {readonly kind: 'prefix-mismatch'};
 
@@ -112,6 +114,7 @@
 			}
 
 			case 'not-sent':
+			case 'unframed':
 			case 'lost': {
 				return signal.aborted ? {kind: 'cancelled'} : response;
 			}
--- a/packages/engine/src/backend.ts
+++ b/packages/engine/src/backend.ts
@@ -4,6 +4,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {type Dispatcher, Pool} from 'undici';
+import {bodyFramingOf} from '#core';
 
 /** Maximum connections of a process to its back end; each running request uses one. */
 const MAX_CONNECTIONS = 512;
@@ -24,6 +25,8 @@
 		| {readonly kind: 'not-sent'; readonly message: string}
 	/** The connection was lost after the request was sent. */
 		| {readonly kind: 'lost'; readonly message: string}
+	/** The back end responded, but only the end of the connection delimits the body, so a truncated response would look complete. */
+		| {readonly kind: 'unframed'; readonly message: string}
 		| {readonly kind: 'aborted'};
 
 const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT', 'EADDRNOTAVAIL']);
@@ -39,6 +42,10 @@
 	return error instanceof Error && 'code' in error && typeof error.code === 'string' ? error.code : '';
 }
 
+function mayHaveBody(method: string, status: number): boolean {
+	return method !== 'HEAD' && status !== 204 && status !== 304;
+}
+
 /** HTTP client of one back end on loopback. */
 export class Backend {
 	/** @param url - Base URL, for example `http://127.0.0.1:8001`. */
@@ -66,6 +73,11 @@
 				// Prevents the client library from sending the request again.
 				idempotent: false,
 			});
+			if (mayHaveBody(req.method, res.statusCode) && bodyFramingOf(res.headers) !== 'framed') {
+				res.body.on('error', () => undefined).destroy();
+				return {kind: 'unframed', message: 'response without a length'};
+			}
+
 			return {
 				kind: 'head', status: res.statusCode, headers: pickHeaders(res.headers), body: res.body as AsyncIterable<Uint8Array>,
 			};
