--- a/packages/harness/src/index.ts
+++ b/packages/harness/src/index.ts
@@ -10,5 +10,5 @@
 	Caller, errorOf, isCompleteStream, type CallError, type ChatOptions, type CallerResponse,
 } from './caller.js';
 export {
-	createResponses, CuttingServer, forEachCut, sendCut, type ConnectionEnd, type Cut, type HttpMessage,
+	createResponses, CuttingServer, forEachCut, sendCut, type ConnectionEnd, type Cut, type CuttingServerOptions, type HttpMessage,
 } from './cutting-server.js';
