--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -5,7 +5,8 @@
 import type {
 	CallerRequest, Dialect, ForwardingInfo, ResponseHead,
 } from './dialect.js';
-import {Exchange, readResponseBody} from './exchange.js';
+import {Exchange, isUnframed, readResponseBody} from './exchange.js';
+import {bodyFramingOf} from '#core';
 import type {EndpointRecord} from '#dispatch';
 
 /** Result of an attempt. */
@@ -125,7 +126,7 @@
 	}
 
 	onResponse(response);
-	const fault = response.isNotRun ? undefined : findHeadFault(status, res.rawHeaders);
+	const fault = response.isNotRun ? undefined : findHeadFault(res);
 	if (fault !== undefined) {
 		exchange.abort();
 		return {kind: 'unknown', reason: fault};
@@ -161,7 +162,11 @@
 }
 
 /** Why the head of a response cannot be passed on, since Node parses more than it sends; undefined if it can. */
-function findHeadFault(status: number, rawHeaders: readonly string[]): string | undefined {
+function findHeadFault({statusCode: status = 0, headers, rawHeaders}: IncomingMessage): string | undefined {
+	if (bodyFramingOf(headers) === 'unsupported') {
+		return 'transfer coding';
+	}
+
 	if (status < MIN_FINAL_STATUS || status > MAX_STATUS) {
 		return `status ${status}`;
 	}
@@ -177,8 +182,3 @@
 
 	return undefined;
 }
-
-/** Whether only the end of the connection delimits the body of this response. */
-export function isUnframed({headers}: IncomingMessage): boolean {
-	return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
-}
