Close all idle connections of an endpoint, not each second one

closeIdle iterated over the list from which each closed connection removes itself, so each second one stayed open until its idle timeout (4 s at most). None was used again, since the list was no longer in the pool, but an endpoint that leaves or restarts kept connections of its caller. The new test failed before: 2 of 5 connections open 100 ms after closeIdle, 0 of 5 with the fix, which takes the connections out of the list before it closes them.

--- a/packages/gateway/__tests__/unit/connection-pool.test.ts
+++ b/packages/gateway/__tests__/unit/connection-pool.test.ts
@@ -3,6 +3,7 @@
 import {createServer, type AddressInfo} from 'node:net';
 import t from 'tap';
 import {ConnectionPool} from '../../src/connection-pool.js';
+import {sleep} from '#core';
 
 void t.test('a connection that is reused many times accumulates no listeners', async t => {
 	const server = createServer(socket => {
@@ -32,3 +33,34 @@
 		pool.release(target, opened.socket, undefined);
 	}
 });
+
+// Guards against connections that stay open after their endpoint was closed: each second one was skipped.
+void t.test('all idle connections of an endpoint are closed', async t => {
+	let open = 0;
+	const server = createServer(socket => {
+		open += 1;
+		socket.on('error', () => undefined).on('data', () => undefined).once('close', () => {
+			open -= 1;
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const stop = new AbortController();
+	t.teardown(() => {
+		stop.abort();
+		server.close();
+	});
+	const pool = ConnectionPool.create(() => performance.now(), stop.signal);
+	const target = {id: 'e1', address: `127.0.0.1:${(server.address() as AddressInfo).port}`};
+	for (const connection of await Promise.all(Array.from({length: 5}, async () => pool.acquire(target, {isNewRequired: true, timeoutMs: 1000})))) {
+		if (connection.kind === 'connected') {
+			pool.release(target, connection.socket, undefined);
+		}
+	}
+
+	await sleep(100);
+	t.equal(open, 5);
+	pool.closeIdle('e1');
+	await sleep(100);
+	t.equal(open, 0);
+});
--- a/packages/gateway/src/connection-pool.ts
+++ b/packages/gateway/src/connection-pool.ts
@@ -87,7 +87,7 @@
 	closeIdle(id: string): void {
 		const idleConnections = this.#idle.get(id) ?? [];
 		this.#idle.delete(id);
-		for (const idle of idleConnections) {
+		for (const idle of idleConnections.splice(0)) {
 			idle.close();
 		}
 	}
