Leave endpoints alone for the time that they ask for when they refuse

Callers saw a refused request sent on to endpoints that had just asked for no more, until its attempts or the retry budget were used up, and were told to come back after 0.1 to 0.5 s whatever time the endpoints had named.

Cause: the Retry-After of an endpoint's 503 was parsed and reached the result of the attempt, but no decision. Ruled out: the backoff of a full endpoint (60 ms, and used all the same when there is no other) and the limits that endpoints name (another header, a rate).

EndpointAvailability (packages/dispatch, pure) holds one idea of why an endpoint gets no new work: leaving, asked to wait, on trial after a wait, at its limit, in backoff. The choice of an endpoint, the check right before sending, the decision to retry and the Retry-After of refused callers all ask it; EndpointGate logs and counts its changes. A wait binds all routes, streams and retries of the entry, also requests that were chosen or connecting when it came. When it is over one request is sent, and others follow once its answer has begun without a refusal; a refusal without a time or no answer leaves room for one other. Times of zero and values that are no decimal number ask for no wait; times over 10 minutes are cut to that. A refused request takes a retry only if another endpoint is open, so that no budget is spent on nothing. If none is, it is refused at once as `endpoint-wait`, with the time of the earliest endpoint and a spread of 1 s, within the caller's time.

An endpoint that asks again and again gets one request per wait, never fewer, so its service lives on the others and it serves again with the first trial that it accepts. Entries don't tell each other of waits: the time is meant for the entry that was answered, and at 340 entries each refusal would be one more report to all of them, to save one request per endpoint and entry.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -7,6 +7,9 @@
 export {
 	EndpointDirectory, EXPIRY_GRACE_MS, type DirectoryChange, type EndpointRecord, type EndpointTombstone,
 } from './endpoint-directory.js';
+export {
+	EndpointAvailability, isClosed, MAX_WAIT_MS, type AvailabilityChange, type AvailabilityReport, type Unavailability,
+} from './endpoint-availability.js';
 export {EndpointLimits, type EndpointLimitReport, type LimitPermit} from './endpoint-limits.js';
 export {EndpointHealth, type AttemptOutcome} from './endpoint-health.js';
 export {chooseEndpoint, type Candidate} from './endpoint-choice.js';
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -47,6 +47,8 @@
 	readonly buffers: BufferBudget;
 	/** Called just before the first byte of the request is sent. */
 	readonly onSending: () => void;
+	/** Called with the head of whatever the endpoint sent, which need not be a response to this request. */
+	readonly onHead: (head: ResponseHead) => void;
 	/** Called with the head of the endpoint's response to this request. */
 	readonly onResponse: (response: ResponseHead) => void;
 };
@@ -121,7 +123,7 @@
 	});
 }
 
-async function readResponse({req, isStream, isReusedConnection, onResponse, buffers}: SentAttempt, exchange: Exchange, dialect: Dialect): Promise<AttemptResult> {
+async function readResponse({req, isStream, isReusedConnection, onHead, onResponse, buffers}: SentAttempt, exchange: Exchange, dialect: Dialect): Promise<AttemptResult> {
 	const head = await exchange.head;
 	if (head.kind === 'broken') {
 		return {kind: 'unknown', reason: head.reason};
@@ -130,6 +132,7 @@
 	const {res} = head;
 	const status = res.statusCode ?? 0;
 	const response = dialect.readResponse(status, res.headers);
+	onHead(response);
 	if (!isResponseTo(req, response, isReusedConnection)) {
 		exchange.abort();
 		return {kind: 'unknown', reason: 'response to another request'};
--- a/packages/gateway/src/event-log.ts
+++ b/packages/gateway/src/event-log.ts
@@ -5,6 +5,7 @@
 import type {RefusalReason} from './refusals.js';
 import {splitCause, type CrashCause} from '#quarantine';
 import {describeError, type ErrorListener} from '#core';
+import type {AvailabilityChange} from '#dispatch';
 import type {Metrics, Logger} from '#telemetry';
 
 /** What the caller of a stream received so far. */
@@ -17,7 +18,7 @@
 };
 
 /** Why another attempt is made, or is not. */
-export type RetryDecision = 'taken' | 'not-repeatable' | 'attempts-used' | 'no-time' | 'budget-used';
+export type RetryDecision = 'taken' | 'not-repeatable' | 'attempts-used' | 'no-time' | 'budget-used' | 'no-endpoint';
 
 /** Times that tell why a stream was cut off, in ms before it. */
 export type CutAges = {
@@ -55,6 +56,8 @@
 		| {readonly kind: 'endpoint'; readonly id: string; readonly service: string; readonly change: string; readonly source: string}
 		/** The limit that an endpoint names, in requests per second; undefined when it no longer names one. */
 		| {readonly kind: 'endpoint-limit'; readonly endpoint: string; readonly perSecond: number | undefined; readonly source: 'response' | 'peer'}
+		/** What an endpoint said of further requests; `waitMs` if it asked to wait. */
+		| {readonly kind: 'endpoint-availability'; readonly requestId: string; readonly endpoint: string; readonly change: AvailabilityChange['kind']; readonly waitMs: number | undefined}
 		/** An endpoint has reached the limit that it names, in requests per second. */
 		| {readonly kind: 'permit-denied'; readonly requestId: string; readonly endpoint: string; readonly perSecond: number | undefined; readonly retryAfterMs: number}
 		/** What may crash endpoints. */
@@ -206,6 +209,11 @@
 				break;
 			}
 
+			case 'endpoint-availability': {
+				this.#metrics.count('endpointAvailability', event.change);
+				break;
+			}
+
 			case 'internal-error': {
 				this.#metrics.count('internalErrors', event.where);
 				break;
@@ -278,6 +286,12 @@
 				return;
 			}
 
+			case 'endpoint-availability': {
+				const {kind, ...fields} = event;
+				this.#logger.warn('endpoint availability', fields);
+				return;
+			}
+
 			case 'permit-denied': {
 				const {kind, ...fields} = event;
 				this.#logger.info('permit denied', fields);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,6 +5,7 @@
 import {ConnectionPool} from './connection-pool.js';
 import {CrashGuard} from './crash-guard.js';
 import type {Dialect} from './dialect.js';
+import {EndpointGate} from './endpoint-gate.js';
 import {EntryEventLog} from './event-log.js';
 import {GroupMonitor, type GroupProbe} from './group-monitor.js';
 import {LimitGuard} from './limit-guard.js';
@@ -20,7 +21,7 @@
 	guardCallback, sleep, superviseTask, type Address,
 } from '#core';
 import {
-	ConfigCache, EndpointDirectory, EndpointHealth, EndpointLimits, LoadTracker, readInstant, StreamCapacity, type EndpointRecord,
+	ConfigCache, EndpointAvailability, EndpointDirectory, EndpointHealth, EndpointLimits, LoadTracker, readInstant, StreamCapacity, type EndpointRecord,
 } from '#dispatch';
 import {CrashCauses} from '#quarantine';
 import {initHashing} from '#routing';
@@ -110,6 +111,8 @@
 		this.#shutdown = Shutdown.create(options.graceMs, monotonicNow);
 		this.#events = EntryEventLog.create(options.logger, options.metrics, monotonicNow);
 		const pool = ConnectionPool.create(monotonicNow, this.#stop.signal);
+		const health = EndpointHealth.create();
+		const limits = EndpointLimits.create();
 		const announce = () => {
 			this.#peerExchange?.announce();
 		};
@@ -124,7 +127,7 @@
 			now: monotonicNow,
 		});
 		const limitGuard: LimitGuard = LimitGuard.create({
-			limits: EndpointLimits.create(),
+			limits,
 			requestPermit: async endpointId => this.#peerExchange?.requestPermit(endpointId) ?? limitGuard.takePermit(endpointId, 1),
 			announce,
 			events: this.#events,
@@ -133,7 +136,8 @@
 		this.#context = {
 			config: this.config,
 			directory: this.directory,
-			health: EndpointHealth.create(),
+			health,
+			gate: EndpointGate.create({availability: EndpointAvailability.create({directory: this.directory, limits, health}), events: this.#events, now: monotonicNow}),
 			load: LoadTracker.create(),
 			limitGuard,
 			pool,
--- a/packages/gateway/src/limit-guard.ts
+++ b/packages/gateway/src/limit-guard.ts
@@ -30,11 +30,6 @@
 		return this.#options.limits.limitOf(endpointId) !== undefined;
 	}
 
-	/** Time until a permit for an endpoint may be had, in ms, as far as known; 0 for an endpoint without a limit. */
-	waitMs(endpointId: string): number {
-		return this.#options.limits.waitMs(endpointId, this.#options.now());
-	}
-
 	/** Whether a request may be sent to an endpoint now. */
 	async admit(endpointId: string, requestId: string): Promise<boolean> {
 		const {limits, requestPermit, events, now} = this.#options;
--- a/packages/gateway/src/refusals.ts
+++ b/packages/gateway/src/refusals.ts
@@ -18,6 +18,8 @@
 		| 'overload'
 	/** All endpoints have reached the limits that they name. */
 		| 'endpoint-limit'
+	/** All endpoints asked to wait, or have reached their limits. */
+		| 'endpoint-wait'
 	/** Endpoints crashed on this request, or on others with the same part of their prompt; a probe may show that it was not the cause. */
 		| `suspect-${CrashCauseKind}`
 	/** The request, or a part of its prompt, crashes endpoints. */
@@ -57,6 +59,7 @@
 	'group-stopped': 503,
 	overload: 503,
 	'endpoint-limit': 503,
+	'endpoint-wait': 503,
 	'suspect-part': 503,
 	'crashing-part': 503,
 	'suspect-request': 503,
@@ -87,6 +90,9 @@
 /** A group that lost a rank takes some seconds to form again; callers that retry sooner are only refused again. */
 const GROUP_RETRY_DELAY: RetryDelay = {minS: 2, spreadS: 1};
 
+/** An endpoint that asked to wait gets one request first, so callers return over the time that its answer may take. */
+const WAIT_RETRY_DELAY: RetryDelay = {minS: 0.1, spreadS: 1};
+
 /** Callers honour a delay up to this share of their remaining time. */
 const MAX_HONOURED_SHARE = 1 / 3;
 
@@ -100,9 +106,13 @@
 	readonly random: number;
 };
 
+function retryDelayOf(reason: RefusalReason): RetryDelay {
+	return reason === 'group-stopped' ? GROUP_RETRY_DELAY : (reason === 'endpoint-wait' ? WAIT_RETRY_DELAY : DEFAULT_RETRY_DELAY);
+}
+
 /** Value of the Retry-After header for a refused caller, in seconds. */
 export function retryAfterSeconds({reason, remainingMs, earliestMs, random}: RetryAfterInput): number {
-	const {minS: reasonMinS, spreadS} = reason === 'group-stopped' ? GROUP_RETRY_DELAY : DEFAULT_RETRY_DELAY;
+	const {minS: reasonMinS, spreadS} = retryDelayOf(reason);
 	const minS = Math.max(reasonMinS, earliestMs / 1000);
 	const maxHonouredS = (remainingMs / 1000) * MAX_HONOURED_SHARE;
 	// If the caller would not wait for the longest delay, the delays are spread below the longest one that it honours.
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -10,6 +10,7 @@
 import type {ConnectionPool} from './connection-pool.js';
 import type {CrashGuard, CauseAdmission} from './crash-guard.js';
 import type {CallerRequest, Dialect} from './dialect.js';
+import type {EndpointGate, EndpointPass} from './endpoint-gate.js';
 import type {
 	CutAges, EntryEventLog, RequestSummary, RetryDecision, StreamSummary,
 } from './event-log.js';
@@ -31,6 +32,7 @@
 	readonly health: EndpointHealth;
 	readonly load: LoadTracker;
 	readonly limitGuard: LimitGuard;
+	readonly gate: EndpointGate;
 	readonly pool: ConnectionPool;
 	readonly dialect: Dialect;
 	readonly events: EntryEventLog;
@@ -106,8 +108,6 @@
 	#probedCauses: readonly CrashCause[] = [];
 	/** When the permissions of the current attempt were asked for; undefined if it needs none. */
 	#permittedAt: Instant | undefined;
-	/** Time until an endpoint accepts another request, in ms, if all have reached their limits. */
-	#limitWaitMs = 0;
 	#lastEndpoint = '';
 	#failureDetail = '';
 	readonly #context: RequestHandlerContext;
@@ -237,18 +237,18 @@
 	}
 
 	#pickEndpoint(route: Route, from: 'any' | 'unlimited'): EndpointChoice {
-		const {directory, health, load, limitGuard, random} = this.#context;
+		const {gate, health, load, limitGuard, random} = this.#context;
 		const now = this.#monotonicNow();
-		const endpoints = directory.endpointsOf(this.#service, now);
+		const endpoints = this.#endpoints();
 		const untried = endpoints.filter(({id}) => !this.#triedEndpoints.has(id));
 		if (untried.length === 0) {
 			return {kind: 'none', reason: endpoints.length === 0 ? 'no-endpoint' : 'unreachable', detail: ''};
 		}
 
-		const open = untried.filter(({id}) => limitGuard.waitMs(id) === 0 && (from === 'any' || !limitGuard.isLimited(id)));
+		const {open: usable, refusal} = gate.partition(untried);
+		const open = usable.filter(({id}) => from === 'any' || !limitGuard.isLimited(id));
 		if (open.length === 0) {
-			this.#limitWaitMs = Math.min(...untried.map(({id}) => limitGuard.waitMs(id)));
-			return {kind: 'none', reason: 'endpoint-limit', detail: `${untried.length} endpoints have reached their limits`};
+			return {kind: 'none', ...refusal};
 		}
 
 		const isNewStream = route.kind.kind === 'stream' && !this.#callerResponse.isStarted;
@@ -263,7 +263,6 @@
 			maxInFlight: isNewStream ? maxInFlightFor(endpoint.slots, isLateRequest) : Infinity,
 			inFlight: load.inFlight(endpoint.id, now),
 			failureRatio: health.failureRatio(endpoint.id),
-			isInBackoff: health.isInBackoff(endpoint.id, now),
 		}));
 		const endpoint = chooseEndpoint(candidates, random)!;
 		return endpoint.inFlight >= endpoint.maxInFlight ? {kind: 'none', reason: 'overload', detail: 'all endpoints are full'} : {kind: 'chosen', endpoint};
@@ -283,29 +282,37 @@
 	}
 
 	#serviceLoad(): ServiceLoad {
-		const {directory, load} = this.#context;
+		const {load} = this.#context;
 		const now = this.#monotonicNow();
-		const endpoints = directory.endpointsOf(this.#service, now);
+		const endpoints = this.#endpoints();
 		return {
 			inFlight: endpoints.reduce((sum, {id}) => sum + load.inFlight(id, now), 0),
 			slots: endpoints.reduce((sum, {slots}) => sum + slots, 0),
 		};
 	}
 
+	/** The endpoints of the service that the registry lists. */
+	#endpoints(): readonly EndpointRecord[] {
+		return this.#context.directory.endpointsOf(this.#service, this.#monotonicNow());
+	}
+
 	async #attempt(route: Route, endpoint: EndpointRecord): Promise<AttemptResult> {
 		const context = this.#context;
 		this.#triedEndpoints.add(endpoint.id);
 		this.#lastEndpoint = endpoint.id;
 		const endRequest = context.load.startRequest(endpoint.id);
+		const pass = context.gate.passTo(endpoint, this.#req.id);
 		try {
-			return await this.#runAttempt(route, endpoint, endRequest);
+			return await this.#runAttempt(route, endpoint, {endRequest, pass});
 		} catch (error) {
 			endRequest();
 			throw error;
+		} finally {
+			pass.end();
 		}
 	}
 
-	async #runAttempt(route: Route, endpoint: EndpointRecord, endRequest: () => void): Promise<AttemptResult> {
+	async #runAttempt(route: Route, endpoint: EndpointRecord, {endRequest, pass}: {readonly endRequest: () => void; readonly pass: EndpointPass}): Promise<AttemptResult> {
 		const context = this.#context;
 		const result = await runAttempt({
 			req: this.#req,
@@ -318,13 +325,16 @@
 			mayReuseConnection: isRepeatable(route),
 			remainingMs: () => Math.floor(this.#remainingMs(route) - DEADLINE_MARGIN_MS),
 			responseTimeoutMs: this.#responseTimeoutMs(route),
-			maySend: () => this.#maySend() && this.#isPermissionFresh() && context.directory.lookUp(endpoint.id, this.#monotonicNow()) !== undefined,
+			maySend: () => this.#maySend() && this.#isPermissionFresh() && pass.maySend(),
 			callerDisconnected: this.#callerResponse.disconnected,
 			requestsEnded: context.shutdown.requestsEnded,
 			buffers: context.buffers,
 			onSending: () => {
 				this.#hasUnsettledAttempt = true;
 			},
+			onHead(head) {
+				pass.recordHead(head);
+			},
 			onResponse(response) {
 				context.limitGuard.record(endpoint.id, response);
 			},
@@ -459,7 +469,7 @@
 		this.#failureDetail = `${failure.outcome} ${failure.detail} at ${endpoint.id}`;
 		const retry = mayRetry ? this.#takeRetry(route) : 'not-repeatable';
 		this.#recordAttemptFailure(endpoint, {...failure, retry});
-		return retry === 'taken' ? 'retry' : this.#fail(finalReason);
+		return retry === 'taken' ? 'retry' : this.#fail(retry === 'no-endpoint' && failure.retryAfterS !== undefined ? 'endpoint-wait' : finalReason);
 	}
 
 	/** Takes one retry from the retry budget if the route, the remaining time and the budget permit it. */
@@ -472,9 +482,19 @@
 			return 'no-time';
 		}
 
+		if (!this.#canReachAnother()) {
+			return 'no-endpoint';
+		}
+
 		return this.#context.budgetOf(this.#service).consumeRetry(this.#monotonicNow()) ? 'taken' : 'budget-used';
 	}
 
+	/** Whether another endpoint is open; one may become so while a stopped group forms. */
+	#canReachAnother(): boolean {
+		const {gate, groups} = this.#context;
+		return groups.isStopped(this.#service) || gate.partition(this.#endpoints().filter(({id}) => !this.#triedEndpoints.has(id))).open.length > 0;
+	}
+
 	#handleResponse(route: Route, endpoint: EndpointRecord, response: Extract<AttemptResult, {kind: 'response'}>): FinalResult | 'retry' {
 		if (response.isSigned) {
 			this.#context.crashGuard.recordBegun(this.#crashCauses, this.#probedCauses);
@@ -624,7 +644,7 @@
 	#refuse(reason: RefusalReason, detail: string): void {
 		const {status, mayRetry} = refusalOf(reason);
 		const retryInput = {
-			reason, remainingMs: this.#callerRemainingMs(), earliestMs: this.#limitWaitMs, random: this.#context.random(),
+			reason, remainingMs: this.#callerRemainingMs(), earliestMs: this.#context.gate.earliestMs(this.#endpoints()), random: this.#context.random(),
 		};
 		const retryAfterS = mayRetry ? retryAfterSeconds(retryInput) : undefined;
 		const headers = [...this.#context.dialect.refusalHeaders(this.#req), ...(retryAfterS === undefined ? [] : ['Retry-After', String(retryAfterS)])];
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -25,6 +25,7 @@
 	configChanges: ['Configurations put in force by source.', 'source'],
 	mapChanges: ['Expert map changes by result.', 'result'],
 	crashes: ['Engine crashes seen, by kind.', 'kind'],
+	endpointAvailability: ['Changes of what endpoints say of further requests, by kind.', 'kind'],
 	internalErrors: ['Exceptions that ended a unit of work, by its kind.', 'where'],
 	streams: ['Complete streams by their longest time between two events against the target of their route.', 'gap'],
 	tokens: ['Stream events passed on, by direction.', 'direction'],
