Send nothing more to an endpoint that says in a response that it leaves

Callers' requests went on to an endpoint that had said so until the registry showed it, with the store away until its end, and ended with its process.

Cause: the header was not read. EndpointDirectory now keeps the word of the endpoint like that of the registry: it is excluded until a registration with another start time comes, so that neither a stale read, a resumed watch, an expired and renewed registration nor another entry's older word brings it back. It is read from every head that comes from its process (success, refusal, failure, a stream's head, a response that breaks off or that belongs to another request) except one of another endpoint at its address, and counts before the head is passed on. The check right before sending stops requests that are connecting; idle connections are closed, and those of requests still under way are not kept afterwards. An answer of an earlier process with the same id, which may come late, says nothing of the later one; that holds for times to wait too.

The word travels to other entries with the tombstones that each message holds already, so it costs no message; they ignore it for a registration newer than that of the entry that heard it, and hear the endpoint themselves then.

Limit: responses name no process, so an answer is taken as one of the process that was registered when its request was sent.

--- a/packages/dispatch/__tests__/unit/endpoint-availability.fuzz.test.ts
+++ b/packages/dispatch/__tests__/unit/endpoint-availability.fuzz.test.ts
@@ -80,7 +80,7 @@
 }));
 const refuse = fc.tuple(fc.constantFrom(undefined, 0, 0.25, 1, 2.5), fc.boolean()).map(([retryAfterS, isOfTrial]) => command(`refuse ${retryAfterS} ${isOfTrial}`, (model, world) => {
 	const isTrial = isOfTrial && model.trial === 'running';
-	world.availability.recordHead(world.latest, {isNotRun: true, retryAfterS}, {isTrial, now: world.now});
+	world.availability.recordHead(world.latest, {isLeaving: false, isNotRun: true, retryAfterS}, {isTrial, now: world.now});
 	model.trial = isTrial ? 'needed' : model.trial;
 	if ((retryAfterS ?? 0) > 0) {
 		model.waitUntil = Math.max(model.waitUntil, world.now + (retryAfterS! * 1000));
@@ -89,7 +89,7 @@
 }));
 const answer = fc.boolean().map(isOfTrial => command(`answer ${isOfTrial}`, (model, world) => {
 	const isTrial = isOfTrial && model.trial === 'running';
-	world.availability.recordHead(world.latest, {isNotRun: false, retryAfterS: undefined}, {isTrial, now: world.now});
+	world.availability.recordHead(world.latest, {isLeaving: false, isNotRun: false, retryAfterS: undefined}, {isTrial, now: world.now});
 	if (isTrial) {
 		model.trial = model.waitUntil <= world.now ? 'none' : 'needed';
 	}
@@ -110,6 +110,16 @@
 		model.trial = 'needed';
 	}
 }));
+const leaveByAnswer = fc.constant(command('leave by answer', (model, world) => {
+	world.availability.recordHead(world.latest, {isLeaving: true, isNotRun: false, retryAfterS: undefined}, {isTrial: false, now: world.now});
+	model.isLeaving = true;
+}));
+const lateAnswer = fc.nat().map(index => command(`late answer ${index}`, (model, world) => {
+	const registration = world.registrations[index % world.registrations.length]!;
+	if (registration.startedAt !== model.startedAt) {
+		world.availability.recordHead(registration, {isLeaving: index % 2 === 0, isNotRun: true, retryAfterS: 1}, {isTrial: false, now: world.now});
+	}
+}));
 const leaveByRegistry = fc.constant(command('leave by registry', (model, world) => {
 	world.register(model.startedAt, true);
 	model.isLeaving = true;
@@ -148,7 +158,7 @@
 }));
 
 void t.test('the reason is the one of a plain model after any sequence', async t => {
-	await fc.assert(fc.asyncProperty(fc.commands([pass, pass, refuse, refuse, answer, answer, send, send, send, loseTrial, leaveByRegistry, restart, restart, heartbeat, staleRead, staleWord, deny, fail], {maxCommands: 100, size: 'max'}), async commands => {
+	await fc.assert(fc.asyncProperty(fc.commands([pass, pass, refuse, refuse, answer, answer, send, send, send, loseTrial, leaveByAnswer, leaveByRegistry, restart, restart, heartbeat, staleRead, staleWord, lateAnswer, deny, fail], {maxCommands: 100, size: 'max'}), async commands => {
 		await fc.asyncModelRun(() => ({model: createModel(), real: new World()}), commands);
 	}), parameters);
 	t.pass();
--- a/packages/dispatch/__tests__/unit/endpoint-availability.test.ts
+++ b/packages/dispatch/__tests__/unit/endpoint-availability.test.ts
@@ -8,8 +8,8 @@
 	id: 'a', service: 's', address: '127.0.0.1:1', zone: 'z', slots: 4, isLeaving: false, startedAt: 10, revision: 1, ...changes,
 });
 
-const served: AvailabilityReport = {isNotRun: false, retryAfterS: undefined};
-const refused = (retryAfterS: number | undefined): AvailabilityReport => ({isNotRun: true, retryAfterS});
+const served: AvailabilityReport = {isLeaving: false, isNotRun: false, retryAfterS: undefined};
+const refused = (retryAfterS: number | undefined): AvailabilityReport => ({isLeaving: false, isNotRun: true, retryAfterS});
 
 type Step
 	= | {readonly do: 'head'; readonly at: number; readonly head: AvailabilityReport; readonly isTrial?: boolean; readonly startedAt?: number}
@@ -72,7 +72,13 @@
 		}],
 	},
 	{
-		name: 'leaving by the registry', steps: [{do: 'register', record: record({isLeaving: true, revision: 2})}, {do: 'reason', at: 0, is: {kind: 'leaving'}}],
+		name: 'leaving by its answer',
+		steps: [{do: 'head', at: 0, head: {...served, isLeaving: true}}, {do: 'admit', at: 0, is: 'closed'}, {do: 'reason', at: 0, is: {kind: 'leaving', source: 'answer'}}, {do: 'register', record: record({revision: 7})}, {do: 'admit', at: 1, is: 'closed'}, {do: 'register', record: record({startedAt: 20, revision: 8})}, {
+			do: 'reason', at: 2, is: undefined, startedAt: 20,
+		}],
+	},
+	{
+		name: 'leaving by the registry', steps: [{do: 'register', record: record({isLeaving: true, revision: 2})}, {do: 'reason', at: 0, is: {kind: 'leaving', source: 'register'}}],
 	},
 ];
 
--- a/packages/dispatch/__tests__/unit/endpoint-directory.test.ts
+++ b/packages/dispatch/__tests__/unit/endpoint-directory.test.ts
@@ -130,6 +130,50 @@
 		at: 0,
 		usable: ['b', 'a'],
 	},
+	{
+		name: 'leaving by its answer: no registration of the same process brings it back',
+		steps: [d => {
+			d.put(record('a', {revision: 3}));
+		}, d => {
+			d.recordLeaving(record('a', {revision: 3}));
+		}, d => {
+			d.replaceAll([record('a', {revision: 3})], 0, 3);
+		}, d => {
+			d.put(record('a', {revision: 9}));
+		}, d => {
+			d.remove('a', 10, 0);
+		}, d => {
+			d.put(record('a', {revision: 12}));
+		}],
+		at: 0,
+		usable: [],
+	},
+	{
+		name: 'leaving by its answer, without a start time in its registration',
+		steps: [d => {
+			d.recordLeaving(record('a', {startedAt: undefined}));
+		}, d => {
+			d.put(record('a', {startedAt: undefined, revision: 9}));
+		}],
+		at: 0,
+		usable: [],
+	},
+	{
+		name: 'leaving by its answer, until another process has its id',
+		steps: [d => {
+			d.put(record('a'));
+		}, d => {
+			d.recordLeaving(record('a'));
+		}, d => {
+			d.put(record('a', {revision: 7, startedAt: 99}));
+		}, d => {
+			d.recordLeaving(record('a'));
+		}, d => {
+			d.put(record('a', {revision: 5}));
+		}],
+		at: 0,
+		usable: ['a'],
+	},
 	{
 		name: 'tombstone from a peer',
 		steps: [d => {
--- a/packages/dispatch/src/endpoint-availability.ts
+++ b/packages/dispatch/src/endpoint-availability.ts
@@ -4,14 +4,14 @@
  *
  * Pure: times are arguments, in monotonic ms of this process.
  */
-import type {EndpointDirectory, EndpointRecord} from './endpoint-directory.js';
+import type {EndpointDirectory, EndpointRecord, LeavingSource} from './endpoint-directory.js';
 import type {EndpointHealth} from './endpoint-health.js';
 import type {EndpointLimits} from './endpoint-limits.js';
 
 /** Why an endpoint gets no new work at a moment. */
 export type Unavailability
 	/** It is leaving, or not registered (any more). */
-	= | {readonly kind: 'leaving'}
+	= | {readonly kind: 'leaving'; readonly source: LeavingSource}
 		/** It asked this entry to wait. */
 		| {readonly kind: 'waiting'; readonly remainingMs: number}
 		/** The time that it asked for is over, and its answer to the one request sent since has not begun. */
@@ -23,6 +23,7 @@
 
 /** What the head of a response says of further requests. */
 export type AvailabilityReport = {
+	readonly isLeaving: boolean;
 	/** Whether the request was refused, with or without a time to wait. */
 	readonly isNotRun: boolean;
 	/** Time for which the endpoint asks for no more requests, in s; undefined if it names none that can be read. */
@@ -31,7 +32,8 @@
 
 /** A change that a response made to the availability of its endpoint. */
 export type AvailabilityChange
-	= | {readonly kind: 'waiting'; readonly waitMs: number}
+	= | {readonly kind: 'leaving'}
+		| {readonly kind: 'waiting'; readonly waitMs: number}
 		| {readonly kind: 'reopened'};
 
 /** Longest wait that is granted, in ms. No caller waits so long; an endpoint that named a longer time by mistake is tried again then. */
@@ -70,7 +72,7 @@
 	reasonAgainst(endpoint: EndpointProcess, now: number): Unavailability | undefined {
 		const {directory, limits, health} = this.#options;
 		if (directory.lookUp(endpoint.id, now) === undefined) {
-			return {kind: 'leaving'};
+			return {kind: 'leaving', source: directory.leavingSource(endpoint.id)};
 		}
 
 		const wait = this.#waitOf(endpoint);
@@ -121,11 +123,18 @@
 	 * Records the head of a response. A time of zero or one that cannot be read asks for no wait; one longer than `MAX_WAIT_MS` is
 	 * cut to it. Of several waits the latest end counts, since each of them binds.
 	 */
-	recordHead(endpoint: EndpointRecord, {isNotRun, retryAfterS = 0}: AvailabilityReport, {isTrial, now}: {readonly isTrial: boolean; readonly now: number}): AvailabilityChange | undefined {
+	recordHead(endpoint: EndpointRecord, {isLeaving, isNotRun, retryAfterS = 0}: AvailabilityReport, {isTrial, now}: {readonly isTrial: boolean; readonly now: number}): AvailabilityChange | undefined {
+		const current = this.#options.directory.lookUp(endpoint.id, now);
+		if (current !== undefined && current.startedAt !== endpoint.startedAt) {
+			// A late answer of an earlier process says nothing of the one that has its id now.
+			return undefined;
+		}
+
 		if (isTrial) {
 			this.endTrial(endpoint);
 		}
 
+		const isNewlyLeaving = isLeaving && this.#options.directory.recordLeaving(endpoint);
 		const known = this.#waitOf(endpoint);
 		const waitMs = Math.min(retryAfterS * 1000, MAX_WAIT_MS);
 		if (waitMs > 0) {
@@ -133,7 +142,11 @@
 			this.#waits.set(endpoint.id, {startedAt: endpoint.startedAt, until: Math.max(now + waitMs, known?.until ?? 0), hasTrial: known?.hasTrial ?? false});
 		} else if (isTrial && !isNotRun && known !== undefined && known.until <= now) {
 			this.#waits.delete(endpoint.id);
-			return {kind: 'reopened'};
+			return isNewlyLeaving ? {kind: 'leaving'} : {kind: 'reopened'};
+		}
+
+		if (isNewlyLeaving) {
+			return {kind: 'leaving'};
 		}
 
 		return waitMs > 0 && (known === undefined || known.until <= now) ? {kind: 'waiting', waitMs} : undefined;
--- a/packages/dispatch/src/endpoint-directory.ts
+++ b/packages/dispatch/src/endpoint-directory.ts
@@ -25,8 +25,12 @@
 	readonly id: string;
 	readonly service: string;
 	readonly change: 'added' | 'leaving' | 'lapsed' | 'removed' | 'restarted' | 'returned';
+	readonly source: LeavingSource;
 };
 
+/** Who says that an endpoint leaves: the registry, also by way of another entry, or the endpoint in a response to this entry. */
+export type LeavingSource = 'register' | 'answer';
+
 /** A process that has begun to leave, kept so that stale reads do not bring it back. */
 export type EndpointTombstone = {
 	readonly id: string;
@@ -41,6 +45,8 @@
 /** Number of removals that are remembered: those of the seconds for which another entry may still list the endpoint, many times over. */
 const MAX_REMOVALS = 4096;
 
+type Tombstone = {readonly startedAt: number | undefined; readonly revision: number; readonly source: LeavingSource};
+
 type KnownEndpoint = {record: EndpointRecord; expiresAt: number | undefined};
 
 export class EndpointDirectory {
@@ -51,7 +57,7 @@
 
 	readonly #endpoints = new Map<string, KnownEndpoint>();
 	/** Processes seen leaving; a stale read must not bring them back. */
-	readonly #tombstones = new Map<string, {startedAt: number | undefined; revision: number}>();
+	readonly #tombstones = new Map<string, Tombstone>();
 	/** Revisions at which registrations were removed, oldest first. */
 	readonly #removals = new Map<string, number>();
 	readonly #listeners = new Set<(change: DirectoryChange) => void>();
@@ -84,13 +90,42 @@
 			return;
 		}
 
-		this.#tombstones.set(id, {startedAt, revision});
+		this.#tombstones.set(id, {startedAt, revision, source: existing?.startedAt === startedAt ? (existing?.source ?? 'register') : 'register'});
 		if (known !== undefined) {
 			this.#endpoints.delete(id);
 			this.#notify(known.record, 'leaving');
 		}
 	}
 
+	/**
+	 * Records that an endpoint said in a response that it leaves. Only a registration of another process under its id ends this.
+	 * Returns whether the endpoint was listed until now.
+	 *
+	 * @param record - The registration by which the request was sent; the response says nothing of a later process.
+	 */
+	recordLeaving({id, startedAt, revision}: EndpointRecord): boolean {
+		const known = this.#endpoints.get(id);
+		const tombstone = this.#tombstones.get(id);
+		const isOfLaterProcess = (other: {readonly startedAt: number | undefined; readonly revision: number} | undefined) => other !== undefined && other.startedAt !== startedAt && other.revision > revision;
+		if (isOfLaterProcess(known?.record) || isOfLaterProcess(tombstone)) {
+			return false;
+		}
+
+		this.#tombstones.set(id, {startedAt, revision: Math.max(revision, known?.record.revision ?? revision, tombstone?.revision ?? revision), source: 'answer'});
+		if (known === undefined) {
+			return false;
+		}
+
+		this.#endpoints.delete(id);
+		this.#notify(known.record, 'leaving', 'answer');
+		return true;
+	}
+
+	/** Who said that an endpoint leaves; the registry if it lists it no more. */
+	leavingSource(id: string): LeavingSource {
+		return this.#tombstones.get(id)?.source ?? 'register';
+	}
+
 	/** Records that the registry cannot be read. */
 	noteRegistryUnreachable(): void {
 		this.#isRegistryUnreachable = true;
@@ -125,7 +160,7 @@
 	/** Adds or updates one registration. A revision lower than the known one is ignored. */
 	put(record: EndpointRecord): void {
 		const tombstone = this.#tombstones.get(record.id);
-		if (tombstone !== undefined && (record.revision <= tombstone.revision || (tombstone.startedAt !== undefined && tombstone.startedAt === record.startedAt))) {
+		if (tombstone !== undefined && (record.revision <= tombstone.revision || isSameProcess(tombstone, record))) {
 			return;
 		}
 
@@ -135,7 +170,7 @@
 		}
 
 		if (record.isLeaving) {
-			this.#tombstones.set(record.id, {startedAt: record.startedAt, revision: record.revision});
+			this.#tombstones.set(record.id, {startedAt: record.startedAt, revision: record.revision, source: 'register'});
 			if (known !== undefined) {
 				this.#endpoints.delete(record.id);
 				this.#notify(record, 'leaving');
@@ -229,9 +264,16 @@
 		}
 	}
 
-	#notify(record: EndpointRecord, change: DirectoryChange['change']): void {
+	#notify(record: EndpointRecord, change: DirectoryChange['change'], source: LeavingSource = 'register'): void {
 		for (const listener of this.#listeners) {
-			listener({id: record.id, service: record.service, change});
+			listener({
+				id: record.id, service: record.service, change, source,
+			});
 		}
 	}
 }
+
+/** Whether a registration is of the process that is leaving. Without a start time it may be another one, unless the process itself said that it leaves. */
+function isSameProcess({startedAt, source}: Tombstone, record: EndpointRecord): boolean {
+	return startedAt === record.startedAt && (startedAt !== undefined || source === 'answer');
+}
--- a/packages/gateway/__tests__/gateway-harness.ts
+++ b/packages/gateway/__tests__/gateway-harness.ts
@@ -152,6 +152,7 @@
 		isMisdirected: status === 421,
 		faultyEndpointId: undefined,
 		limitPerS: headers['x-limit'] === undefined ? undefined : Number(headers['x-limit']),
+		isLeaving: headers['x-leaving'] !== undefined,
 		retryAfterS: headers['retry-after'] === undefined ? undefined : Number(headers['retry-after']),
 	}),
 	headersToCaller: rawHeaders => rawHeaders.filter((_, i) => !['connection', 'content-length', 'transfer-encoding', 'keep-alive'].includes(rawHeaders[i - (i % 2)]!.toLowerCase())),
--- a/packages/gateway/src/connection-pool.ts
+++ b/packages/gateway/src/connection-pool.ts
@@ -26,16 +26,21 @@
 type IdleConnection = {readonly socket: Socket; readonly address: string; readonly expiresAt: number; readonly close: () => void};
 
 export class ConnectionPool {
-	/** @param now - Monotonic clock in ms. */
-	static create(now: () => number, signal: AbortSignal): ConnectionPool {
-		return new ConnectionPool(now, signal);
+	/**
+	 * @param now - Monotonic clock in ms.
+	 * @param mayKeep - Whether connections to an endpoint are kept after a response.
+	 */
+	static create(now: () => number, signal: AbortSignal, mayKeep: (id: string) => boolean = () => true): ConnectionPool {
+		return new ConnectionPool(now, signal, mayKeep);
 	}
 
 	readonly #now: () => number;
+	readonly #mayKeep: (id: string) => boolean;
 	readonly #idle = new Map<string, IdleConnection[]>();
 
-	private constructor(now: () => number, signal: AbortSignal) {
+	private constructor(now: () => number, signal: AbortSignal, mayKeep: (id: string) => boolean) {
 		this.#now = now;
+		this.#mayKeep = mayKeep;
 		signal.addEventListener('abort', () => {
 			for (const id of this.#idle.keys()) {
 				this.closeIdle(id);
@@ -60,7 +65,7 @@
 	/** Returns a connection after a complete response. `keepAliveMs` is the idle timeout that the endpoint announced. */
 	release(target: ConnectionTarget, socket: Socket, keepAliveMs: number | undefined): void {
 		const idleMs = Math.min(MAX_IDLE_MS, (keepAliveMs ?? MAX_IDLE_MS) - IDLE_MARGIN_MS);
-		if (socket.destroyed || !socket.writable || idleMs <= 0 || socket.readableLength > 0) {
+		if (socket.destroyed || !socket.writable || idleMs <= 0 || socket.readableLength > 0 || !this.#mayKeep(target.id)) {
 			socket.destroy();
 			return;
 		}
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -53,6 +53,8 @@
 	readonly faultyEndpointId: string | undefined;
 	/** Requests per second that the endpoint accepts from all entries together; undefined if it names no limit. */
 	readonly limitPerS: number | undefined;
+	/** Whether the endpoint says that it leaves. */
+	readonly isLeaving: boolean;
 	/** Time for which the endpoint asks this entry for no more requests, in s; undefined if it names none that can be read. */
 	readonly retryAfterS: number | undefined;
 };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -110,7 +110,7 @@
 		const monotonicNow = () => performance.now();
 		this.#shutdown = Shutdown.create(options.graceMs, monotonicNow);
 		this.#events = EntryEventLog.create(options.logger, options.metrics, monotonicNow);
-		const pool = ConnectionPool.create(monotonicNow, this.#stop.signal);
+		const pool = ConnectionPool.create(monotonicNow, this.#stop.signal, id => this.directory.lookUp(id, monotonicNow()) !== undefined);
 		const health = EndpointHealth.create();
 		const limits = EndpointLimits.create();
 		const announce = () => {
@@ -205,7 +205,7 @@
 				this.#context.limitGuard.forget(change.id);
 			}
 
-			this.#events.record({kind: 'endpoint', ...change, source: 'register'});
+			this.#events.record({kind: 'endpoint', ...change});
 		});
 		const state: EntryState = {
 			config: this.config, directory: this.directory, events: this.#events, now: readInstant,
