--- a/packages/gateway/__tests__/cut-attempts.ts
+++ b/packages/gateway/__tests__/cut-attempts.ts
@@ -36,12 +36,13 @@
 		isStream: false,
 		mayReuseConnection: true,
 		remainingMs: () => 5000,
-		responseTimeoutMs: 5000,
+		silenceMs: undefined,
 		maySend: () => true,
-		callerDisconnected: new AbortController().signal,
-		requestsEnded: new AbortController().signal,
+		signal: AbortSignal.timeout(5000),
 		buffers: BufferBudget.create(),
 		onSending: () => undefined,
+		onSilent: () => undefined,
+		onHead: () => undefined,
 		onResponse: () => undefined,
 	}, pool, testDialect);
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,6 +6,7 @@
 import {ConnectionPool} from './connection-pool.js';
 import {CrashGuard} from './crash-guard.js';
 import type {Dialect} from './dialect.js';
+import {EndpointGate} from './endpoint-gate.js';
 import {EntryEventLog} from './event-log.js';
 import {GroupMonitor, type GroupProbe} from './group-monitor.js';
 import {LimitGuard} from './limit-guard.js';
@@ -22,7 +23,7 @@
 	guardCallback, sleep, superviseTask, type Address,
 } from '#core';
 import {
-	ConfigCache, EndpointDirectory, EndpointHealth, EndpointLimits, LoadTracker, readInstant, StreamCapacity, type EndpointRecord,
+	ConfigCache, EndpointAvailability, EndpointDirectory, EndpointHealth, EndpointLimits, LoadTracker, readInstant, StreamCapacity, type EndpointRecord,
 } from '#dispatch';
 import {CrashCauses} from '#quarantine';
 import {initHashing} from '#routing';
@@ -120,7 +121,9 @@
 		const monotonicNow = () => performance.now();
 		this.#shutdown = Shutdown.create(options.graceMs, monotonicNow);
 		this.#events = EntryEventLog.create(options.logger, options.metrics, monotonicNow);
-		const pool = ConnectionPool.create(monotonicNow, this.#stop.signal);
+		const pool = ConnectionPool.create(monotonicNow, this.#stop.signal, id => this.directory.lookUp(id, monotonicNow()) !== undefined);
+		const health = EndpointHealth.create();
+		const limits = EndpointLimits.create();
 		const announce = () => {
 			this.#peerExchange?.announce();
 		};
@@ -135,7 +138,7 @@
 			now: monotonicNow,
 		});
 		const limitGuard: LimitGuard = LimitGuard.create({
-			limits: EndpointLimits.create(),
+			limits,
 			requestPermit: async endpointId => this.#peerExchange?.requestPermit(endpointId) ?? limitGuard.takePermit(endpointId, 1),
 			announce,
 			events: this.#events,
@@ -144,7 +147,8 @@
 		this.#context = {
 			config: this.config,
 			directory: this.directory,
-			health: EndpointHealth.create(),
+			health,
+			gate: EndpointGate.create({availability: EndpointAvailability.create({directory: this.directory, limits, health}), events: this.#events, now: monotonicNow}),
 			load: LoadTracker.create(),
 			limitGuard,
 			pool,
@@ -212,7 +216,7 @@
 				this.#context.limitGuard.forget(change.id);
 			}
 
-			this.#events.record({kind: 'endpoint', ...change, source: 'register'});
+			this.#events.record({kind: 'endpoint', ...change});
 		});
 		const state: EntryState = {
 			config: this.config, directory: this.directory, events: this.#events, now: readInstant,
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -11,6 +11,7 @@
 import type {ConnectionPool} from './connection-pool.js';
 import type {CrashGuard, CauseAdmission} from './crash-guard.js';
 import type {CallerRequest, Dialect} from './dialect.js';
+import type {EndpointGate, EndpointPass} from './endpoint-gate.js';
 import type {
 	CutAges, EntryEventLog, RequestSummary, RetryDecision,
 } from './event-log.js';
@@ -35,6 +36,7 @@
 	readonly health: EndpointHealth;
 	readonly load: LoadTracker;
 	readonly limitGuard: LimitGuard;
+	readonly gate: EndpointGate;
 	readonly pool: ConnectionPool;
 	readonly dialect: Dialect;
 	readonly events: EntryEventLog;
@@ -142,8 +144,6 @@
 	#failureReason: RefusalReason | undefined;
 	/** Passes on the last failure that an endpoint answered with, if no other attempt delivers. */
 	#respondWithFailure: (() => FinalResult) | undefined;
-	/** Time until an endpoint accepts another request, in ms, if all have reached their limits. */
-	#limitWaitMs = 0;
 	#lastEndpoint = '';
 	#failureDetail = '';
 	readonly #context: RequestHandlerContext;
@@ -290,9 +290,9 @@
 	/** Makes another attempt if that is possible; the request fails only when no other one is open. */
 	#handleFailure(route: Route, race: Race, failure: FailedAttempt): FinalResult | undefined {
 		this.#failureDetail = `${failure.outcome} ${failure.detail} at ${failure.endpoint.id}`;
-		this.#failureReason = failure.finalReason;
 		this.#respondWithFailure = failure.respond ?? this.#respondWithFailure;
 		const retry = race.isAnyActive ? 'not-needed' : this.#decideRetry(route, failure);
+		this.#failureReason = retry === 'no-endpoint' && failure.retryAfterS !== undefined ? 'endpoint-wait' : failure.finalReason;
 		if (retry === 'taken') {
 			this.#start(race, async attempt => this.#attempt(route, attempt));
 		}
@@ -302,7 +302,7 @@
 			this.#recordAttemptFailure({...failure, retry});
 		}
 
-		return isLast ? (failure.respond?.() ?? this.#end(failure.finalReason)) : undefined;
+		return isLast ? (failure.respond?.() ?? this.#end(this.#failureReason)) : undefined;
 	}
 
 	#decideRetry(route: Route, {retry}: FailedAttempt): RetryDecision {
@@ -410,18 +410,18 @@
 	}
 
 	#pickEndpoint(route: Route, from: 'any' | 'unlimited'): EndpointChoice {
-		const {directory, health, load, limitGuard, random} = this.#context;
+		const {gate, health, load, limitGuard, random} = this.#context;
 		const now = this.#monotonicNow();
-		const endpoints = directory.endpointsOf(this.#service, now);
+		const endpoints = this.#endpoints();
 		const untried = endpoints.filter(({id}) => !this.#triedEndpoints.has(id));
 		if (untried.length === 0) {
 			return {kind: 'none', reason: endpoints.length === 0 ? 'no-endpoint' : 'unreachable', detail: ''};
 		}
 
-		const open = untried.filter(({id}) => limitGuard.waitMs(id) === 0 && (from === 'any' || !limitGuard.isLimited(id)));
+		const {open: usable, refusal} = gate.partition(untried);
+		const open = usable.filter(({id}) => from === 'any' || !limitGuard.isLimited(id));
 		if (open.length === 0) {
-			this.#limitWaitMs = Math.min(...untried.map(({id}) => limitGuard.waitMs(id)));
-			return {kind: 'none', reason: 'endpoint-limit', detail: `${untried.length} endpoints have reached their limits`};
+			return {kind: 'none', ...refusal};
 		}
 
 		const isNewStream = route.kind.kind === 'stream' && !this.#callerResponse.isStarted;
@@ -436,7 +436,6 @@
 			maxInFlight: isNewStream ? maxInFlightFor(endpoint.slots, isLateRequest) : Infinity,
 			inFlight: load.inFlight(endpoint.id, now),
 			failureRatio: health.failureRatio(endpoint.id),
-			isInBackoff: health.isInBackoff(endpoint.id, now),
 		}));
 		const endpoint = chooseEndpoint(candidates, random)!;
 		return endpoint.inFlight >= endpoint.maxInFlight ? {kind: 'none', reason: 'overload', detail: 'all endpoints are full'} : {kind: 'chosen', endpoint};
@@ -456,28 +455,36 @@
 	}
 
 	#serviceLoad(): ServiceLoad {
-		const {directory, load} = this.#context;
+		const {load} = this.#context;
 		const now = this.#monotonicNow();
-		const endpoints = directory.endpointsOf(this.#service, now);
+		const endpoints = this.#endpoints();
 		return {
 			inFlight: endpoints.reduce((sum, {id}) => sum + load.inFlight(id, now), 0),
 			slots: endpoints.reduce((sum, {slots}) => sum + slots, 0),
 		};
 	}
 
+	/** The endpoints of the service that the registry lists. */
+	#endpoints(): readonly EndpointRecord[] {
+		return this.#context.directory.endpointsOf(this.#service, this.#monotonicNow());
+	}
+
 	async #sendTo(route: Route, endpoint: EndpointRecord, attempt: Attempt): Promise<AttemptResult> {
 		this.#triedEndpoints.add(endpoint.id);
 		this.#lastEndpoint = endpoint.id;
 		const endRequest = this.#context.load.startRequest(endpoint.id);
+		const pass = this.#context.gate.passTo(endpoint, this.#req.id);
 		try {
-			return await this.#runAttempt(route, endpoint, {attempt, endRequest});
+			return await this.#runAttempt(route, endpoint, {attempt, endRequest, pass});
 		} catch (error) {
 			endRequest();
 			throw error;
+		} finally {
+			pass.end();
 		}
 	}
 
-	async #runAttempt(route: Route, endpoint: EndpointRecord, {attempt, endRequest}: {readonly attempt: Attempt; readonly endRequest: () => void}): Promise<AttemptResult> {
+	async #runAttempt(route: Route, endpoint: EndpointRecord, {attempt, endRequest, pass}: {readonly attempt: Attempt; readonly endRequest: () => void; readonly pass: EndpointPass}): Promise<AttemptResult> {
 		const context = this.#context;
 		let isSent = false;
 		let isSilent = false;
@@ -492,7 +499,7 @@
 			mayReuseConnection: isRepeatable(route),
 			remainingMs: () => Math.floor(this.#remainingMs(route) - DEADLINE_MARGIN_MS),
 			silenceMs: this.#silenceMs(route),
-			maySend: () => this.#maySend() && this.#isPermissionFresh(attempt) && this.#remainingMs(route) >= MIN_ATTEMPT_MS && this.#isCallerPatient(route) && context.directory.lookUp(endpoint.id, this.#monotonicNow()) !== undefined,
+			maySend: () => this.#maySend() && this.#isPermissionFresh(attempt) && this.#remainingMs(route) >= MIN_ATTEMPT_MS && this.#isCallerPatient(route) && pass.maySend(),
 			signal: attempt.signal,
 			buffers: context.buffers,
 			onSending: () => {
@@ -502,8 +509,12 @@
 			},
 			onSilent() {
 				isSilent = true;
+				pass.end();
 				attempt.noteSilent(endpoint);
 			},
+			onHead(head) {
+				pass.recordHead(head);
+			},
 			onResponse(response) {
 				context.limitGuard.record(endpoint.id, response);
 			},
@@ -637,9 +648,19 @@
 			return 'no-time';
 		}
 
+		if (!this.#canReachAnother()) {
+			return 'no-endpoint';
+		}
+
 		return this.#context.budgetOf(this.#service).consumeRetry(this.#monotonicNow()) ? 'taken' : 'budget-used';
 	}
 
+	/** Whether another endpoint is open; one may become so while a stopped group forms. */
+	#canReachAnother(): boolean {
+		const {gate, groups} = this.#context;
+		return groups.isStopped(this.#service) || gate.partition(this.#endpoints().filter(({id}) => !this.#triedEndpoints.has(id))).open.length > 0;
+	}
+
 	#handleResponse(route: Route, endpoint: EndpointRecord, attempt: Attempt, response: Extract<AttemptResult, {kind: 'response'}>): AttemptEnd {
 		if (response.isSigned) {
 			this.#context.crashGuard.recordBegun(this.#crashCauses, attempt.probedCauses);
@@ -784,7 +805,7 @@
 	#refuse(reason: RefusalReason, detail: string): void {
 		const {status, mayRetry} = refusalOf(reason);
 		const retryInput = {
-			reason, remainingMs: this.#callerRemainingMs(), earliestMs: this.#limitWaitMs, random: this.#context.random(),
+			reason, remainingMs: this.#callerRemainingMs(), earliestMs: this.#context.gate.earliestMs(this.#endpoints()), random: this.#context.random(),
 		};
 		const retryAfterS = mayRetry ? retryAfterSeconds(retryInput) : undefined;
 		const headers = [...this.#context.dialect.refusalHeaders(this.#req), ...(retryAfterS === undefined ? [] : ['Retry-After', String(retryAfterS)])];
