Count a retry when it is sent, and return one that is not

What endpoints saw: more repeats in a window than the share of the requests and the slack allow, when a stopped group runs again: the retries that had waited for it arrive together, beside those of the next window.

Cause: a retry was counted when it was granted. It may wait for a group, for a permit or for a connection afterwards, so it could leave the window before it was sent. One that was never sent stayed counted.

Why it works: a granted retry counts in every window until it is sent, then at that time; one that is not sent when its request ends is returned.

--- a/packages/coordination/__tests__/unit/versioned-config.test.ts
+++ b/packages/coordination/__tests__/unit/versioned-config.test.ts
@@ -129,3 +129,15 @@
 	t.equal(budget.remainingRetries(10_100), 20);
 	t.end();
 });
+
+await t.test('a granted retry counts in every window until it is sent or released', t => {
+	const budget = RetryBudget.create({minRetries: 1});
+	const sent = budget.reserveRetry(0);
+	t.equal(budget.remainingRetries(20_000), 0);
+	sent?.send(20_000);
+	t.equal(budget.remainingRetries(29_900), 0);
+	t.equal(budget.remainingRetries(30_000), 1);
+	budget.reserveRetry(30_000)?.release();
+	t.equal(budget.remainingRetries(30_000), 1);
+	t.end();
+});
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -9,7 +9,7 @@
 export {
 	Lease, type HeldLease, type LeaseResult, type LeaseOptions, type LeaseReleaseResult,
 } from './lease.js';
-export {RetryBudget, type RetryBudgetOptions} from './retry-budget.js';
+export {RetryBudget, type GrantedRetry, type RetryBudgetOptions} from './retry-budget.js';
 export type {ApplyResult, ConfigChange} from './config-apply.js';
 export type {
 	ConfigReadFailure, ConfigVersion, ConfigWrite,
--- a/packages/coordination/src/retry-budget.ts
+++ b/packages/coordination/src/retry-budget.ts
@@ -20,6 +20,14 @@
 	readonly restrictedUntil?: number;
 };
 
+/** A retry that was granted; call one of the two functions once. */
+export type GrantedRetry = {
+	/** Counts the retry at the time at which it is sent, in ms. Until then it counts in every window. */
+	readonly send: (now: number) => void;
+	/** Returns a retry that is not sent. */
+	readonly release: () => void;
+};
+
 type Slot = {index: number; requests: number; retries: number};
 
 /** Number of slots that the window is divided into; an event leaves the window up to one slot late. */
@@ -51,6 +59,7 @@
 	readonly #minRetries: () => number;
 	readonly #restrictedUntil: number;
 	readonly #slots: Slot[] = [];
+	#reservedRetries = 0;
 
 	private constructor(options: RetryBudgetOptions) {
 		const windowMs = options.windowMs ?? DEFAULT_WINDOW_MS;
@@ -68,15 +77,29 @@
 		this.#slotAt(now).requests += 1;
 	}
 
-	/** Consumes one retry at `now` (ms). Returns false, and counts nothing, if the budget is exhausted. */
-	consumeRetry(now: number): boolean {
-		const slot = this.#slotAt(now);
+	/** Grants a retry that is sent later, at `now` (ms). Returns undefined if the budget is exhausted. */
+	reserveRetry(now: number): GrantedRetry | undefined {
 		if (this.remainingRetries(now) < 1) {
-			return false;
+			return undefined;
 		}
 
-		slot.retries += 1;
-		return true;
+		this.#reservedRetries += 1;
+		return {
+			send: sentAt => {
+				this.#reservedRetries -= 1;
+				this.#slotAt(sentAt).retries += 1;
+			},
+			release: () => {
+				this.#reservedRetries -= 1;
+			},
+		};
+	}
+
+	/** Consumes one retry at `now` (ms). Returns false, and counts nothing, if the budget is exhausted. */
+	consumeRetry(now: number): boolean {
+		const retry = this.reserveRetry(now);
+		retry?.send(now);
+		return retry !== undefined;
 	}
 
 	/** Number of retries left at `now` (ms). */
@@ -92,7 +115,7 @@
 			const most = Math.max(...WINDOW_SHIFTS.map(shift => sumOfWindow(requests, age + shift)));
 			const share = Math.floor(most * this.#fraction);
 			const allowed = isRestricted ? Math.min(minRetries, share) : Math.max(minRetries, share);
-			remaining = Math.min(remaining, allowed - sumOfWindow(retries, age));
+			remaining = Math.min(remaining, allowed - sumOfWindow(retries, age) - this.#reservedRetries);
 		}
 
 		return Math.max(0, remaining);
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -18,7 +18,7 @@
 import {refusalOf, retryAfterSeconds, type RefusalReason} from './refusals.js';
 import {relayStream, type RelayInput, type RelayResult} from './stream-relay.js';
 import type {Shutdown} from './shutdown.js';
-import type {RetryBudget} from '#coordination';
+import type {GrantedRetry, RetryBudget} from '#coordination';
 import {
 	chooseEndpoint, effectivePriority, elapsedMs, isLate, LATE_SLOT_SHARE, maxInFlightFor, queueLimitFor, streamPatienceMs, type AttemptOutcome, type EndpointDirectory, type EndpointHealth, type EndpointRecord, type Instant, type LoadTracker,
 	type PriorityInput, type Route, type ServiceLoad, type StreamCapacity, type Workspace,
@@ -91,6 +91,8 @@
 	#fingerprint = '';
 	#attempts = 0;
 	#connectFailures = 0;
+	/** The retry that was granted for the next attempt, until it is sent. */
+	#grantedRetry: GrantedRetry | undefined;
 	#mayHaveRun = false;
 	/** Whether a request is being sent whose result is not known yet. */
 	#hasUnsettledAttempt = false;
@@ -134,6 +136,9 @@
 				kind: 'internal-error', where: 'request', requestId: this.#req.id, error,
 			});
 			result = this.#fail('internal-error');
+		} finally {
+			this.#grantedRetry?.release();
+			this.#grantedRetry = undefined;
 		}
 
 		if (this.#callerResponse.disconnected.aborted) {
@@ -324,6 +329,8 @@
 			buffers: context.buffers,
 			onSending: () => {
 				this.#hasUnsettledAttempt = true;
+				this.#grantedRetry?.send(this.#monotonicNow());
+				this.#grantedRetry = undefined;
 			},
 			onResponse(response) {
 				context.limitGuard.record(endpoint.id, response);
@@ -472,7 +479,8 @@
 			return 'no-time';
 		}
 
-		return this.#context.budgetOf(this.#service).consumeRetry(this.#monotonicNow()) ? 'taken' : 'budget-used';
+		this.#grantedRetry = this.#context.budgetOf(this.#service).reserveRetry(this.#monotonicNow());
+		return this.#grantedRetry === undefined ? 'budget-used' : 'taken';
 	}
 
 	#handleResponse(route: Route, endpoint: EndpointRecord, response: Extract<AttemptResult, {kind: 'response'}>): FinalResult | 'retry' {
