--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -22,7 +22,7 @@
 import {relayStream, type RelayInput, type RelayResult} from './stream-relay.js';
 import {StreamProgress} from './stream-progress.js';
 import type {Shutdown} from './shutdown.js';
-import type {RetryBudget} from '#coordination';
+import type {GrantedRetry, RetryBudget} from '#coordination';
 import {sleep} from '#core';
 import {
 	chooseEndpoint, effectivePriority, elapsedMs, isLate, LATE_SLOT_SHARE, maxInFlightFor, queueLimitFor, streamPatienceMs, type AttemptOutcome, type EndpointDirectory, type EndpointHealth, type EndpointRecord, type Instant, type LoadTracker,
@@ -131,6 +131,8 @@
 	#fingerprint = '';
 	#attempts = 0;
 	#connectFailures = 0;
+	/** The retry that was granted for the next attempt, until it is sent. */
+	#grantedRetry: GrantedRetry | undefined;
 	#mayHaveRun = false;
 	/** Number of attempts that were sent and whose result is not known yet. */
 	#unsettledAttempts = 0;
@@ -171,6 +173,8 @@
 				kind: 'internal-error', where: 'request', requestId: this.#req.id, error,
 			});
 			result = this.#fail('internal-error');
+		} finally {
+			this.#releaseRetry();
 		}
 
 		if (this.#callerResponse.disconnected.aborted) {
@@ -278,6 +282,7 @@
 			}
 
 			case 'not-begun': {
+				this.#releaseRetry();
 				return race.isAnyOpen ? undefined : this.#end(end.reason, end.detail);
 			}
 
@@ -506,6 +511,8 @@
 				isSent = true;
 				this.#attempts += 1;
 				this.#unsettledAttempts += 1;
+				this.#grantedRetry?.send(this.#monotonicNow());
+				this.#grantedRetry = undefined;
 			},
 			onSilent() {
 				isSilent = true;
@@ -652,7 +659,14 @@
 			return 'no-endpoint';
 		}
 
-		return this.#context.budgetOf(this.#service).consumeRetry(this.#monotonicNow()) ? 'taken' : 'budget-used';
+		this.#grantedRetry ??= this.#context.budgetOf(this.#service).reserveRetry(this.#monotonicNow());
+		return this.#grantedRetry === undefined ? 'budget-used' : 'taken';
+	}
+
+	/** Returns the retry that was granted for an attempt that is not sent. */
+	#releaseRetry(): void {
+		this.#grantedRetry?.release();
+		this.#grantedRetry = undefined;
 	}
 
 	/** Whether another endpoint is open; one may become so while a stopped group forms. */
