Use an endpoint again that lost to a silent stream that went on, and ask again beside silent ones

What callers could see, found by reading the change of silent exchanges: a stream whose endpoint was silent, went on and broke later was cut off although the other endpoint was free, since that one counted as tried; the retry that was granted for an attempt that lost before it was sent stayed reserved until the stream ended, which kept others from a retry; and an attempt beside a silent exchange that was refused at that moment was never asked for again, so the request was held to its deadline.

An attempt now owns the retry that was granted for it and returns it when it ends unsent; an endpoint that lost may be chosen again (attempts still bound it); while all open exchanges are silent, another attempt is asked for every 250 ms. An exception of one attempt no longer ends the others, an endpoint's failure that waits for a silent exchange is passed on 100 ms before the deadline instead of at it, and a waiter whose attempt was aborted does not wait.

The retry that stays reserved and the margin before the deadline have no test of their own.

--- a/packages/gateway/__tests__/unit/silent-endpoints.test.ts
+++ b/packages/gateway/__tests__/unit/silent-endpoints.test.ts
@@ -44,13 +44,13 @@
 	socket.write(chunk(''));
 };
 
-type Setup = {readonly kind: RouteKind; /** What the endpoints do with the first request, the second and so on. */ readonly scripts: readonly Script[]; readonly maxAttempts?: number; readonly probeGroup?: () => Promise<boolean | undefined>};
+type Setup = {readonly kind: RouteKind; /** What the endpoints do with the first request, the second and so on. */ readonly scripts: readonly Script[]; readonly endpointCount?: number; /** Number of endpoints that are registered at first. */ readonly registeredCount?: number; readonly maxAttempts?: number; readonly probeGroup?: () => Promise<boolean | undefined>};
 
 /** Starts an entry whose endpoints follow the scripts in the order of the requests; `closed` holds the requests whose connection has ended. */
-async function start(t: Test, {kind, scripts, maxAttempts = scripts.length, probeGroup}: Setup) {
+async function start(t: Test, {kind, scripts, endpointCount = scripts.length, registeredCount = endpointCount, maxAttempts = scripts.length, probeGroup}: Setup) {
 	const closed = new Set<number>();
 	let received = 0;
-	const endpoints = await Promise.all(scripts.map(async (_, i) => FakeEndpoint.create(t, `e${i}`, (socket, req) => {
+	const endpoints = await Promise.all(Array.from({length: endpointCount}, async (_, i) => FakeEndpoint.create(t, `e${i}`, (socket, req) => {
 		const index = received;
 		received += 1;
 		socket.once('close', () => {
@@ -58,11 +58,12 @@
 		});
 		scripts[index]?.(socket, req);
 	})));
+	const records = endpoints.map(endpoint => endpoint.record());
 	const {logger, lines} = createRecordingLogger();
-	const registry = FakeRegistry.create(testConfig([testRoute({kind, timeoutMs: kind.kind === 'stream' ? 8000 : TIMEOUT_MS, maxAttempts})], 1, undefined, ['texts']), endpoints.map(endpoint => endpoint.record()));
+	const registry = FakeRegistry.create(testConfig([testRoute({kind, timeoutMs: kind.kind === 'stream' ? 8000 : TIMEOUT_MS, maxAttempts})], 1, undefined, ['texts']), records.slice(0, registeredCount));
 	const entry = await startGateway(t, registry, {logger, graceMs: 1400, ...(probeGroup === undefined ? {} : {probeGroup})});
 	return {
-		...entry, closed, lines, received: () => received,
+		...entry, closed, lines, records, registry, received: () => received,
 	};
 }
 
@@ -180,3 +181,31 @@
 		});
 	}
 }
+
+void t.test('an endpoint that lost to a stream that went on is used again when that one breaks', async t => {
+	const breaksLater: Script = async (socket, {id}) => {
+		socket.write(streamHead(id) + chunk('id: 1\ndata: a1\n\n'));
+		await sleep(SILENCE_MS);
+		socket.write(chunk('id: 2\ndata: a2\n\n'));
+		await sleep(100);
+		socket.destroy();
+	};
+
+	const entry = await start(t, {
+		kind: resumable, endpointCount: 2, scripts: [breaksLater, silent, streams('c', 0, 0)],
+	});
+	const {text} = await callRaw(entry.port, request, CALL_MS, '\r\n0\r\n\r\n');
+	t.same(eventsOf(text), ['a1', 'a2', ...run('c', 3)]);
+	t.ok(text.endsWith('0\r\n\r\n'), 'complete');
+});
+
+void t.test('a silent endpoint whose only alternative appears later is not waited for to the end', async t => {
+	const {port, records, registry} = await start(t, {
+		kind: idempotent, endpointCount: 2, registeredCount: 1, scripts: [silent, answers('second', 0)],
+	});
+	const called = callRaw(port, request, CALL_MS, 'second');
+	await sleep(SILENCE_MS + 200);
+	registry.records = records;
+	const {text} = await called;
+	t.match(text, /^HTTP\/1.1 200 /u);
+});
--- a/packages/gateway/src/attempt-race.ts
+++ b/packages/gateway/src/attempt-race.ts
@@ -54,15 +54,14 @@
 	readonly #events: Array<RaceEvent<End, Source>> = [];
 	#wake: (() => void) | undefined;
 	readonly #closing = new AbortController();
+	#deadlineTimer: NodeJS.Timeout | undefined;
 	readonly #onLateError: (error: unknown) => void;
 
 	private constructor({callerDisconnected, requestsEnded, timeoutMs, onLateError}: AttemptRaceOptions) {
 		this.#onLateError = onLateError;
-		const timer = setTimeout(() => {
-			this.#stop('deadline');
-		}, Math.max(0, timeoutMs));
+		this.stopWithin(timeoutMs);
 		this.#closing.signal.addEventListener('abort', () => {
-			clearTimeout(timer);
+			clearTimeout(this.#deadlineTimer);
 		}, {once: true});
 		this.#stopOn(requestsEnded, 'stopping');
 		this.#stopOn(callerDisconnected, 'caller-left');
@@ -90,6 +89,14 @@
 		});
 	}
 
+	/** Replaces the time until the race stops, in ms. */
+	stopWithin(timeoutMs: number): void {
+		clearTimeout(this.#deadlineTimer);
+		this.#deadlineTimer = setTimeout(() => {
+			this.#stop('deadline');
+		}, Math.max(0, timeoutMs));
+	}
+
 	/** Settles with the next event. Nothing follows a stop. */
 	async next(): Promise<RaceEvent<End, Source>> {
 		while (this.#events.length === 0) {
@@ -125,7 +132,12 @@
 				controller.abort(reason);
 			},
 		};
-		this.#open.add(attempt);
+		if (this.#closing.signal.aborted) {
+			controller.abort('lost');
+		} else {
+			this.#open.add(attempt);
+		}
+
 		return attempt;
 	}
 
--- a/packages/gateway/src/group-monitor.ts
+++ b/packages/gateway/src/group-monitor.ts
@@ -84,6 +84,10 @@
 			return false;
 		}
 
+		if (signal.aborted) {
+			return false;
+		}
+
 		const wakeController = new AbortController();
 		const wake = () => {
 			wakeController.abort();
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -72,6 +72,12 @@
 /** Time in which a silent endpoint goes on once its group runs again, in ms; an attempt beside it is made after that. */
 const GROUP_RESUME_MS = 150;
 
+/** A failure that an endpoint answered with is passed on this long before the caller's deadline if no other attempt delivers, in ms. */
+const RESPONSE_MARGIN_MS = 100;
+
+/** Interval at which an attempt beside silent ones is asked for again, in ms. */
+const ASK_AGAIN_INTERVAL_MS = 250;
+
 /** Maximum number of denied permits per attempt: each one costs a round trip to another entry, so endpoints without a limit are chosen then. */
 const MAX_DENIED_PERMITS = 3;
 
@@ -93,6 +99,8 @@
 	probedCauses: readonly CrashCause[];
 	/** When its permissions were asked for; undefined if it needs none. */
 	permittedAt: Instant | undefined;
+	/** Retry that was granted for it, until it is sent. */
+	grantedRetry: GrantedRetry | undefined;
 };
 
 /** How an attempt that was not aborted ended. */
@@ -147,6 +155,8 @@
 	/** Passes on the last failure that an endpoint answered with, if no other attempt delivers. */
 	#respondWithFailure: (() => FinalResult) | undefined;
 	#lastEndpoint = '';
+	/** The endpoint that was silent last. */
+	#lastSilent: EndpointRecord | undefined;
 	#failureDetail = '';
 	readonly #context: RequestHandlerContext;
 	readonly #req: CallerRequest;
@@ -234,14 +244,24 @@
 
 	#start(race: Race, run: (attempt: Attempt) => Promise<AttemptEnd>): void {
 		race.start(async racing => {
-			const attempt: Attempt = {...racing, probedCauses: this.#grantedCauses, permittedAt: undefined};
+			const attempt: Attempt = {
+				...racing, probedCauses: this.#grantedCauses, permittedAt: undefined, grantedRetry: this.#grantedRetry,
+			};
 			this.#grantedCauses = [];
-			const end = await run(attempt);
-			if (!attempt.signal.aborted) {
-				this.#grantedCauses = attempt.probedCauses;
-			}
+			this.#grantedRetry = undefined;
+			try {
+				const end = await run(attempt);
+				if (!attempt.signal.aborted) {
+					this.#grantedCauses = attempt.probedCauses;
+					// Another attempt may follow without a retry of its own if this one was not sent.
+					this.#grantedRetry = attempt.grantedRetry;
+					attempt.grantedRetry = undefined;
+				}
 
-			return end;
+				return end;
+			} finally {
+				attempt.grantedRetry?.release();
+			}
 		});
 	}
 
@@ -249,9 +269,10 @@
 	#handleEvent(route: Route, race: Race, event: RaceEvent<AttemptEnd, EndpointRecord>): FinalResult | undefined {
 		switch (event.kind) {
 			case 'silent': {
+				this.#lastSilent = event.source;
 				this.#recordOutcome(event.source.id, 'silent');
 				if (!race.isAnyActive && this.#isCallerPatient(route)) {
-					this.#start(race, async attempt => this.#attemptBeside(route, event.source, attempt));
+					this.#start(race, async attempt => this.#attemptBeside(route, {silent: event.source, isRepeated: false}, attempt));
 				}
 
 				return undefined;
@@ -262,7 +283,12 @@
 			}
 
 			case 'threw': {
-				throw event.error;
+				if (!race.isAnyOpen) {
+					throw event.error;
+				}
+
+				this.#context.events.errorListener('request')(event.error);
+				return undefined;
 			}
 
 			case 'ended': {
@@ -283,11 +309,12 @@
 
 			case 'not-begun': {
 				this.#releaseRetry();
-				return race.isAnyOpen ? undefined : this.#end(end.reason, end.detail);
+				return race.isAnyOpen ? this.#askAgain(route, race) : this.#end(end.reason, end.detail);
 			}
 
 			case 'no-retry': {
-				return race.isAnyOpen ? undefined : this.#end(this.#failureReason ?? 'timeout');
+				this.#releaseRetry();
+				return race.isAnyOpen ? this.#askAgain(route, race) : this.#end(this.#failureReason ?? 'timeout');
 			}
 		}
 	}
@@ -300,9 +327,15 @@
 		this.#failureReason = retry === 'no-endpoint' && failure.retryAfterS !== undefined ? 'endpoint-wait' : failure.finalReason;
 		if (retry === 'taken') {
 			this.#start(race, async attempt => this.#attempt(route, attempt));
+		} else {
+			this.#releaseRetry();
 		}
 
 		const isLast = !race.isAnyOpen;
+		if (!isLast && failure.respond !== undefined) {
+			race.stopWithin(this.#remainingMs(route) - RESPONSE_MARGIN_MS);
+		}
+
 		if (!isLast || failure.respond === undefined) {
 			this.#recordAttemptFailure({...failure, retry});
 		}
@@ -326,8 +359,21 @@
 		}
 	}
 
+	/** Asks again for an attempt beside silent ones after a while: the budget, the endpoints and the groups may allow it then. */
+	#askAgain(route: Route, race: Race): undefined {
+		const silent = this.#lastSilent;
+		if (silent === undefined || race.isAnyActive || this.#attempts >= route.maxAttempts || !this.#isCallerPatient(route)) {
+			return;
+		}
+
+		this.#start(race, async attempt => {
+			await sleep(ASK_AGAIN_INTERVAL_MS, attempt.signal);
+			return this.#attemptBeside(route, {silent, isRepeated: true}, attempt);
+		});
+	}
+
 	/** Makes an attempt beside a silent one, which goes on. A group that pauses as a whole is waited for instead. */
-	async #attemptBeside(route: Route, silent: EndpointRecord, attempt: Attempt): Promise<AttemptEnd> {
+	async #attemptBeside(route: Route, {silent, isRepeated}: {readonly silent: EndpointRecord; readonly isRepeated: boolean}, attempt: Attempt): Promise<AttemptEnd> {
 		const {groups} = this.#context;
 		await groups.check(this.#service);
 		if (groups.isStopped(this.#service)) {
@@ -345,10 +391,19 @@
 		}
 
 		const retry = this.#takeRetry(route);
-		this.#recordAttemptFailure({
-			endpoint: silent, outcome: 'silent', detail: '', retry,
-		});
-		return retry === 'taken' ? this.#attempt(route, attempt) : {kind: 'no-retry'};
+		if (!isRepeated || retry === 'taken') {
+			this.#recordAttemptFailure({
+				endpoint: silent, outcome: 'silent', detail: '', retry,
+			});
+		}
+
+		if (retry !== 'taken') {
+			return {kind: 'no-retry'};
+		}
+
+		attempt.grantedRetry = this.#grantedRetry;
+		this.#grantedRetry = undefined;
+		return this.#attempt(route, attempt);
 	}
 
 	/** Makes one attempt. */
@@ -511,8 +566,8 @@
 				isSent = true;
 				this.#attempts += 1;
 				this.#unsettledAttempts += 1;
-				this.#grantedRetry?.send(this.#monotonicNow());
-				this.#grantedRetry = undefined;
+				attempt.grantedRetry?.send(this.#monotonicNow());
+				attempt.grantedRetry = undefined;
 			},
 			onSilent() {
 				isSilent = true;
@@ -532,6 +587,11 @@
 			endRequest();
 		}
 
+		if (result.kind === 'aborted' && attempt.signal.reason === 'lost') {
+			// It is not to blame, and may continue the stream if the winner breaks.
+			this.#triedEndpoints.delete(endpoint.id);
+		}
+
 		if (isSent) {
 			this.#unsettledAttempts -= 1;
 			this.#mayHaveRun ||= result.kind !== 'not-run';
