Tell a probe of the backlog from a caller with the same port at another address

By reading: accepted connections were compared by their remote port alone, so a caller on another host with the probe's port would have been closed in its place. No test: the two addresses of loopback cannot be told apart by the listener in this way.

--- a/packages/gateway/src/backlog-probe.ts
+++ b/packages/gateway/src/backlog-probe.ts
@@ -22,8 +22,8 @@
 	}
 
 	#probe: Probe | undefined;
-	/** Connections by their remote port that were accepted while the probe's own port is unknown. */
-	readonly #accepted = new Map<number, Socket>();
+	/** Connections by their remote address that were accepted while the probe's own address is unknown. */
+	readonly #accepted = new Map<string, Socket>();
 	readonly #listener: Address;
 	readonly #readDelay: ReadDelay;
 	readonly #now: () => Instant;
@@ -46,8 +46,8 @@
 		}
 
 		if (this.#probe.socket.connecting) {
-			this.#accepted.set(connection.remotePort ?? 0, connection);
-		} else if (connection.remotePort === this.#probe.socket.localPort) {
+			this.#accepted.set(remoteAddressOf(connection), connection);
+		} else if (remoteAddressOf(connection) === localAddressOf(this.#probe.socket)) {
 			this.#finish(this.#probe, connection);
 		}
 	}
@@ -60,7 +60,7 @@
 			probe.socket.destroy();
 		});
 		probe.socket.once('connect', () => {
-			const connection = this.#accepted.get(probe.socket.localPort ?? 0);
+			const connection = this.#accepted.get(localAddressOf(probe.socket));
 			this.#accepted.clear();
 			if (connection !== undefined) {
 				this.#finish(probe, connection);
@@ -78,3 +78,11 @@
 		socket.destroy();
 	}
 }
+
+function remoteAddressOf({remoteAddress, remotePort}: Socket): string {
+	return `${remoteAddress}:${remotePort}`;
+}
+
+function localAddressOf({localAddress, localPort}: Socket): string {
+	return `${localAddress}:${localPort}`;
+}
