Close the connection of a request that cannot be written

By reading: an exception between taking a connection and writing the request left the socket without an owner and an error listener. No way to reach it is known.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -83,7 +83,14 @@
 		body: input.body,
 	};
 	input.onSending();
-	const exchange = Exchange.create(endpoint, opened.socket, pool, outgoing);
+	let exchange: Exchange;
+	try {
+		exchange = Exchange.create(endpoint, opened.socket, pool, outgoing);
+	} catch (error) {
+		opened.socket.on('error', () => undefined).destroy();
+		throw error;
+	}
+
 	return awaitResponse({...input, isReusedConnection: opened.isReused}, exchange, dialect);
 }
 
