Own stack: a refusal of an engine without a length is a refusal again

Since responses without a length are not passed on, an engine's 429 or 503 without one counted as lost: the caller got an unknown outcome where another endpoint could have been tried. The status alone decides, as for other refusals. By reading; no test plays it.

--- a/packages/endpoint/src/work-run.ts
+++ b/packages/endpoint/src/work-run.ts
@@ -114,19 +114,31 @@
 			}
 
 			case 'not-sent':
-			case 'unframed':
 			case 'lost': {
 				return signal.aborted ? {kind: 'cancelled'} : response;
 			}
 
+			case 'unframed': {
+				if (signal.aborted) {
+					return {kind: 'cancelled'};
+				}
+
+				return this.#isRejection(response.status) ? {kind: 'rejected', status: response.status} : response;
+			}
+
 			case 'head': {
-				return REJECTED_STATUSES.has(response.status) && this.work.target === 'model'
+				return this.#isRejection(response.status)
 					? this.#drainRejected(response)
 					: this.#forward(response, 0, resumeOffset);
 			}
 		}
 	}
 
+	/** Whether the status alone shows that the engine did not run the request. */
+	#isRejection(status: number): boolean {
+		return REJECTED_STATUSES.has(status) && this.work.target === 'model';
+	}
+
 	async #drainRejected(response: Extract<BackendResponse, {kind: 'head'}>): Promise<RunResult> {
 		try {
 			for await (const _ of response.body) {
--- a/packages/engine/src/backend.ts
+++ b/packages/engine/src/backend.ts
@@ -26,7 +26,7 @@
 	/** The connection was lost after the request was sent. */
 		| {readonly kind: 'lost'; readonly message: string}
 	/** The back end responded, but only the end of the connection delimits the body, so a truncated response would look complete. */
-		| {readonly kind: 'unframed'; readonly message: string}
+		| {readonly kind: 'unframed'; readonly status: number; readonly message: string}
 		| {readonly kind: 'aborted'};
 
 const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT', 'EADDRNOTAVAIL']);
@@ -75,7 +75,7 @@
 			});
 			if (mayHaveBody(req.method, res.statusCode) && bodyFramingOf(res.headers) !== 'framed') {
 				res.body.on('error', () => undefined).destroy();
-				return {kind: 'unframed', message: 'response without a length'};
+				return {kind: 'unframed', status: res.statusCode, message: 'response without a length'};
 			}
 
 			return {
