--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -309,12 +309,22 @@
 
 			case 'not-begun': {
 				this.#releaseRetry();
-				return race.isAnyOpen ? this.#askAgain(route, race) : this.#end(end.reason, end.detail);
+				if (!race.isAnyOpen) {
+					return this.#end(end.reason, end.detail);
+				}
+
+				this.#askAgain(route, race);
+				return undefined;
 			}
 
 			case 'no-retry': {
 				this.#releaseRetry();
-				return race.isAnyOpen ? this.#askAgain(route, race) : this.#end(this.#failureReason ?? 'timeout');
+				if (!race.isAnyOpen) {
+					return this.#end(this.#failureReason ?? 'timeout');
+				}
+
+				this.#askAgain(route, race);
+				return undefined;
 			}
 		}
 	}
@@ -360,7 +370,7 @@
 	}
 
 	/** Asks again for an attempt beside silent ones after a while: the budget, the endpoints and the groups may allow it then. */
-	#askAgain(route: Route, race: Race): undefined {
+	#askAgain(route: Route, race: Race): void {
 		const silent = this.#lastSilent;
 		if (silent === undefined || race.isAnyActive || this.#attempts >= route.maxAttempts || !this.#isCallerPatient(route)) {
 			return;
