--- a/packages/lifecycle/__tests__/unit/process-life.test.ts
+++ b/packages/lifecycle/__tests__/unit/process-life.test.ts
@@ -64,6 +64,7 @@
 		});
 		const [code] = await once(child, 'close') as [number];
 		t.equal(code, testCase.code);
+		t.match(lines[0], {msg: 'process: process began', codeVersion: 'unbundled'});
 		t.match(lines.at(-1), {msg: 'process: process ended', ...testCase.last});
 		if (testCase.logged !== undefined) {
 			t.match(lines.find(({msg}) => msg === testCase.logged?.msg), testCase.logged);
--- a/packages/lifecycle/src/end-log.ts
+++ b/packages/lifecycle/src/end-log.ts
@@ -1,4 +1,7 @@
-/** The last log line of a process: why it ends, and what is open then. A process that is killed cannot write it. */
+/**
+ * The first and the last log line of a process: which code it runs; why it ends, and what is open then. A process that is killed cannot
+ * write the last one.
+ */
 import process from 'node:process';
 import {describeError} from '#core';
 import type {LogFields, Logger} from '#telemetry';
@@ -11,6 +14,9 @@
 		| {readonly kind: 'stop-failed'; readonly error: unknown}
 		| {readonly kind: 'exception'; readonly error: unknown};
 
+/** Set by the bundler. */
+declare const CODE_VERSION: string | undefined;
+
 export type EndLogOptions = {
 	readonly logger: Logger;
 	/** Describes the work that is open now, bounded in size. */
@@ -18,9 +24,10 @@
 };
 
 export class EndLog {
-	/** Logs the end of this process from now on. */
+	/** Logs the begin of this process, and its end from now on. */
 	static create(options: EndLogOptions): EndLog {
 		const endLog = new EndLog(options);
+		options.logger.info('process began', {codeVersion: typeof CODE_VERSION === 'string' ? CODE_VERSION : 'unbundled', nodeVersion: process.version, uptimeMs: uptimeMs()});
 		process.on('uncaughtExceptionMonitor', error => {
 			endLog.setCause({kind: 'exception', error});
 		});
