Pass on streams without a length as their endpoints end them

Callers saw: a resumable stream whose endpoint sends no length and ends its connection after the last event was never whole. Cause: such a stream counts as broken, and the caller's head had promised chunks, so that the entry could only cut it. Ruled out: ending it with a last chunk, which vouches for a length that the endpoint did not give. The head is now passed on without a length too. Another attempt is still made first; if none delivers more, the connection ends as the endpoint's did. A stream of that kind that is cut is reset, also for callers of HTTP/1.0, where a cut looked like the end.

--- a/packages/gateway/src/caller-response.ts
+++ b/packages/gateway/src/caller-response.ts
@@ -27,6 +27,7 @@
 	readonly #socket: Socket;
 	readonly #options: CallerResponseOptions;
 	#isDestroyed = false;
+	#isStream = false;
 
 	private constructor(res: ServerResponse, options: CallerResponseOptions) {
 		this.#res = res;
@@ -71,6 +72,11 @@
 		return this.#res.headersSent;
 	}
 
+	/** Whether only the end of the connection delimits a response that has begun as a stream. */
+	get isUnframedStream(): boolean {
+		return this.#isStream && !this.#res.chunkedEncoding;
+	}
+
 	/** Sends a complete response, after which the connection may be kept unless it is to be closed. */
 	sendComplete(status: number, headers: readonly string[], body: Uint8Array, connection: 'kept' | 'closed' = 'kept'): void {
 		const framing = mayHaveBody(status) ? ['Content-Length', String(body.length)] : [];
@@ -85,9 +91,14 @@
 		this.#res.end(body);
 	}
 
-	/** Sends the head of a stream. */
-	startStream(status: number, headers: readonly string[]): void {
-		this.#writeHead(status, headers, 'kept');
+	/** Sends the head of a stream; without a length if only the end of the connection delimits it. */
+	startStream(status: number, headers: readonly string[], framing: 'chunked' | 'unframed'): void {
+		this.#isStream = true;
+		if (framing === 'unframed') {
+			this.#res.useChunkedEncodingByDefault = false;
+		}
+
+		this.#writeHead(status, headers, framing === 'unframed' ? 'closed' : 'kept');
 		this.#res.flushHeaders();
 	}
 
@@ -116,6 +127,10 @@
 	/** Closes the connection, so that an incomplete stream does not look complete. */
 	destroy(): void {
 		this.#isDestroyed = true;
+		if (this.isUnframedStream) {
+			this.#socket.resetAndDestroy();
+		}
+
 		this.#res.destroy();
 	}
 
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -153,6 +153,8 @@
 	#failureReason: RefusalReason | undefined;
 	/** Passes on the last failure that an endpoint answered with, if no other attempt delivers. */
 	#respondWithFailure: (() => FinalResult) | undefined;
+	/** The endpoint whose stream without a length has ended, and the last event that the caller had by then. */
+	#unframedEnd: {readonly endpoint: EndpointRecord; readonly lastEventId: number | undefined} | undefined;
 	#lastEndpoint = '';
 	/** The endpoint that was silent last. */
 	#lastSilent: EndpointRecord | undefined;
@@ -838,6 +840,14 @@
 				return {kind: 'no-retry'};
 			}
 
+			case 'unframed-end': {
+				this.#recordOutcome(endpoint.id, 'answered');
+				this.#unframedEnd = {endpoint, lastEventId: this.#progress.lastEventId};
+				return {
+					kind: 'failed', endpoint, outcome: 'unframed', detail: 'stream', finalReason: 'unknown-outcome', retry: repeatOf(route),
+				};
+			}
+
 			case 'broken': {
 				this.#recordOutcome(endpoint.id, 'broken');
 				await this.#checkCrash(endpoint, attempt);
@@ -868,13 +878,24 @@
 	/** Ends the request without an endpoint's answer. */
 	#fail(reason: RefusalReason, detail = ''): FinalResult {
 		if (this.#callerResponse.isStarted) {
-			return this.#cutOffResponse(undefined, reason);
+			return this.#endUnframed() ?? this.#cutOffResponse(undefined, reason);
 		}
 
 		// The refusal would promise that the request did not run, which is not known after an attempt with an unknown outcome.
 		return {kind: 'refuse', reason: (this.#mayHaveRun || this.#unsettledAttempts > 0) && refusalOf(reason).isNotRun ? 'unknown-outcome' : reason, detail: this.#failureDetail === '' ? detail : this.#failureDetail};
 	}
 
+	/** Ends a response as its endpoint did that sent no length, unless more was sent to the caller since. */
+	#endUnframed(): FinalResult | undefined {
+		if (this.#unframedEnd === undefined || !this.#callerResponse.isUnframedStream || this.#unframedEnd.lastEventId !== this.#progress.lastEventId) {
+			return undefined;
+		}
+
+		this.#callerResponse.endStream();
+		this.#recordResponse(this.#unframedEnd.endpoint, 200);
+		return {kind: 'done'};
+	}
+
 	#failTimedOut(): FinalResult {
 		return this.#attempts === 0 ? this.#end('timeout-before-sent') : this.#end('timeout', `silent at ${this.#lastEndpoint}`);
 	}
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -11,6 +11,8 @@
 /** How the relay of one endpoint's stream ended. */
 export type RelayResult
 	= | {readonly kind: 'complete'}
+		/** Its connection ended after a whole event, and nothing else tells whether it is complete. */
+		| {readonly kind: 'unframed-end'}
 		| {readonly kind: 'broken'; readonly reason: string}
 		| {readonly kind: 'aborted'};
 
@@ -69,7 +71,7 @@
 			if (!isClaimed) {
 				finish({kind: 'aborted'});
 			} else if (!callerResponse.isStarted) {
-				callerResponse.startStream(200, head);
+				callerResponse.startStream(200, head, isUnframed(res) ? 'unframed' : 'chunked');
 			}
 
 			return isClaimed;
@@ -125,7 +127,9 @@
 
 		const onEnd = () => {
 			if (isUnframed(res)) {
-				finish({kind: 'broken', reason: 'ended without framing'});
+				// Closing follows the end, and does not decide how it ended.
+				res.off('close', onClose);
+				void finishUnframed();
 				return;
 			}
 
@@ -139,6 +143,19 @@
 			}
 		};
 
+		const finishUnframed = async () => {
+			const isBroken = await exchange.checkIsBroken();
+			if (isFinished) {
+				return;
+			}
+
+			if (isBroken || splitter.pendingBytes > 0) {
+				finish({kind: 'broken', reason: isBroken ? 'connection failed' : 'ended inside an event'});
+			} else if (claimCaller()) {
+				finish({kind: 'unframed-end'});
+			}
+		};
+
 		const onClose = () => {
 			finish({kind: 'broken', reason: 'connection closed'});
 		};
