Log why each caller's connection ends without a whole answer

`answer cut off` didn't say whether the request's time was over, and had the reason `timeout` for the end of the grace period too.

Added: `request not taken`, `bytes not sent`; `input skipped` of a broken body names the request and who closed; `connection closed` has a reason where an earlier response was cut off or has no length, or the connection was kept for 2 s after its last response; `answer cut off` has `minOverdueMs` and `maxOverdueMs`, and `stopping` as a reason; the last line of a process tells the state of what is open.

--- a/packages/gateway/src/caller-connection.ts
+++ b/packages/gateway/src/caller-connection.ts
@@ -5,19 +5,27 @@
 /** Time for which a connection is kept after its last response, in ms, unless the caller closes it: what was written has mostly arrived then. */
 const LINGER_MS = 2000;
 
+export type CallerConnectionOptions = {
+	/** Called when the connection is closed with bytes that could not be written. */
+	readonly onUnsent: (bytes: number) => void;
+};
+
 export class CallerConnection {
-	static create(socket: Socket): CallerConnection {
-		return new CallerConnection(socket);
+	static create(socket: Socket, options: CallerConnectionOptions): CallerConnection {
+		return new CallerConnection(socket, options);
 	}
 
 	#open: ServerResponse[] = [];
 	/** Whether no more requests are taken, since it closes after those that are open. */
 	#isClosing = false;
 	#isLingering = false;
+	#closeReason: string | undefined;
+	readonly #options: CallerConnectionOptions;
 	readonly #socket: Socket;
 
-	private constructor(socket: Socket) {
+	private constructor(socket: Socket, options: CallerConnectionOptions) {
 		this.#socket = socket;
+		this.#options = options;
 		// Node calls it after the last response.
 		socket.destroySoon = () => {
 			this.#linger();
@@ -36,6 +44,16 @@
 		return this.#isLingering && !this.#socket.destroyed;
 	}
 
+	/** Why this entry closes the connection; undefined if it does not, or Node does. */
+	get closeReason(): string | undefined {
+		return this.#closeReason;
+	}
+
+	/** Notes why the connection closes before the responses that are open; the first reason counts. */
+	noteClose(reason: string): void {
+		this.#closeReason ??= reason;
+	}
+
 	/** Takes a request. Returns false, and changes nothing, if the connection closes before its response. */
 	take(res: ServerResponse): boolean {
 		if (this.#isClosing) {
@@ -60,6 +78,10 @@
 			this.#isClosing = true;
 		}
 
+		if (wish === 'must-close' && !isLast) {
+			this.noteClose('response without a length');
+		}
+
 		return wish === 'must-close' || (this.#isClosing && isLast);
 	}
 
@@ -99,6 +121,12 @@
 		this.#socket.end();
 		this.#socket.resume();
 		const timer = setTimeout(() => {
+			const unsentBytes = this.#socket.writableLength;
+			if (unsentBytes > 0) {
+				this.#options.onUnsent(unsentBytes);
+			}
+
+			this.noteClose('closing connection');
 			this.#socket.destroy();
 		}, LINGER_MS);
 		this.#socket.once('close', () => {
--- a/packages/gateway/src/caller-response.ts
+++ b/packages/gateway/src/caller-response.ts
@@ -15,6 +15,8 @@
 	readonly closesAfter: (isRequired: boolean) => boolean;
 	/** Returns why the server has closed the connection, if it has. */
 	readonly closeReason: () => string | undefined;
+	/** Called when the connection is closed before the response is complete. */
+	readonly onCut: () => void;
 };
 
 export class CallerResponse {
@@ -116,6 +118,7 @@
 	/** Closes the connection, so that an incomplete stream does not look complete. */
 	destroy(): void {
 		this.#isDestroyed = true;
+		this.#options.onCut();
 		this.#res.destroy();
 	}
 
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -7,7 +7,6 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
-import type {Duplex} from 'node:stream';
 import {CallerConnection} from './caller-connection.js';
 import {CallerResponse} from './caller-response.js';
 import type {Dialect} from './dialect.js';
@@ -52,8 +51,17 @@
 	readonly readDelay: ReadDelay;
 };
 
-/** An open request: its summary, or that it is still being read. */
-export type OpenRequest = RequestSummary | 'being read';
+/** An open request. One whose response is complete waits until its caller has read that. */
+export type OpenRequest
+	= | {readonly state: 'being read'; readonly requestId: string | undefined}
+		| ({readonly state: 'being handled' | 'being written'} & RequestSummary);
+
+type OpenResponse = {
+	/** Undefined while the request cannot be told by its id. */
+	requestId: string | undefined;
+	/** Undefined while the request is read. */
+	handler: RequestHandler | undefined;
+};
 
 export class CallerServer {
 	/** Starts to listen. Rejects if the address is taken, or if the signal aborts before it is free. */
@@ -65,12 +73,9 @@
 
 	readonly #server: Server;
 	#isDraining = false;
-	/** Open responses; without a handler while the request is read. */
-	readonly #openResponses = new Map<ServerResponse, RequestHandler | undefined>();
+	readonly #openResponses = new Map<ServerResponse, OpenResponse>();
 	/** Connections that have sent a request. */
 	readonly #connections = new Map<Socket, CallerConnection>();
-	/** Why this server closed connections. */
-	readonly #closeReasons = new WeakMap<Duplex, string>();
 	readonly #backlogProbe: BacklogProbe;
 	readonly #options: CallerServerOptions;
 
@@ -83,12 +88,13 @@
 		}, (req, res) => {
 			const connection = this.#connectionOf(req.socket);
 			if (!connection.take(res)) {
+				this.#recordNotTaken(req);
 				// Reading on shows when the caller leaves.
 				req.resume();
 				return;
 			}
 
-			this.#openResponses.set(res, undefined);
+			this.#openResponses.set(res, {requestId: undefined, handler: undefined});
 			res.once('close', () => {
 				this.#openResponses.delete(res);
 			});
@@ -97,7 +103,10 @@
 			});
 			const callerResponse = CallerResponse.create(res, {
 				closesAfter: isRequired => connection.closesAfter(res, isRequired ? 'must-close' : (this.#isDraining ? 'close' : 'keep')),
-				closeReason: () => this.#closeReasons.get(req.socket),
+				closeReason: () => connection.closeReason,
+				onCut() {
+					connection.noteClose('earlier response was cut off');
+				},
 			});
 			if (req.httpVersion === '1.1' && req.headers.host === undefined) {
 				options.context.events.record({kind: 'skipped-input', where: 'caller', detail: 'no host'});
@@ -124,13 +133,17 @@
 			const detail = (err as NodeJS.ErrnoException).code ?? err.message;
 			options.context.events.record({kind: 'skipped-input', where: 'caller', detail});
 			if (!socket.writable) {
+				if (!socket.destroyed) {
+					connection.noteClose(`invalid input ${detail}`);
+				}
+
 				socket.destroy();
 				return;
 			}
 
 			// Responses in progress end first; other bytes would be taken as part of them.
 			if (!connection.closeAfterOpen()) {
-				this.#closeReasons.set(socket, `invalid input ${detail}`);
+				connection.noteClose(`invalid input ${detail}`);
 				connection.endWith('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
 			}
 		});
@@ -146,13 +159,18 @@
 		return this.#openResponses.size > 0 || this.#isAnyLingering;
 	}
 
+	/** Number of connections whose last response may not have arrived yet. */
+	get lingeringConnections(): number {
+		return [...this.#connections.values()].filter(({isLingering}) => isLingering).length;
+	}
+
 	get #isAnyLingering(): boolean {
-		return [...this.#connections.values()].some(({isLingering}) => isLingering);
+		return this.lingeringConnections > 0;
 	}
 
 	/** Describes the open requests, the oldest first, up to a limit. */
 	describeOpen(): readonly OpenRequest[] {
-		return [...this.#openResponses.values()].slice(0, MAX_DESCRIBED_REQUESTS).map(handler => handler?.describe() ?? 'being read');
+		return [...this.#openResponses].slice(0, MAX_DESCRIBED_REQUESTS).map(([res, {requestId, handler}]) => (handler === undefined ? {state: 'being read', requestId} : {state: res.writableEnded ? 'being written' : 'being handled', ...handler.describe()}));
 	}
 
 	/** Applies the idle timeout of a configuration, in ms. */
@@ -183,7 +201,7 @@
 	#cutUnread(): void {
 		const unread = [...this.#openResponses].filter(([res]) => res.writableEnded && res.writableLength > 0 && !res.req.socket.destroyed);
 		let bytes = unread.reduce((sum, [res]) => sum + res.writableLength, 0);
-		for (const [res, handler] of unread) {
+		for (const [res, {handler}] of unread) {
 			if (bytes <= MAX_UNREAD_BYTES) {
 				return;
 			}
@@ -191,7 +209,7 @@
 			bytes -= res.writableLength;
 			handler?.cutUnread();
 			// A response that waits for an earlier one has no socket of its own yet.
-			this.#closeReasons.set(res.req.socket, 'not-read');
+			this.#connectionOf(res.req.socket).noteClose('not-read');
 			res.req.socket.destroy();
 		}
 	}
@@ -202,7 +220,11 @@
 			return known;
 		}
 
-		const connection = CallerConnection.create(socket);
+		const connection = CallerConnection.create(socket, {
+			onUnsent: bytes => {
+				this.#options.context.events.record({kind: 'unsent', bytes});
+			},
+		});
 		this.#connections.set(socket, connection);
 		socket.once('close', () => {
 			this.#connections.delete(socket);
@@ -214,6 +236,18 @@
 		await listenWhenFree(this.#server, this.#options, {signal, backlog: LISTEN_BACKLOG});
 	}
 
+	/** Records a request that gets no answer, since its connection closes after an earlier response. */
+	#recordNotTaken({method = 'GET', url = '/', headers, rawHeaders}: IncomingMessage): void {
+		let requestId: string | undefined;
+		try {
+			requestId = this.#options.dialect.readRequest(method, url, headers, rawHeaders).id;
+		} catch {
+			// A request that cannot be decoded has no id.
+		}
+
+		this.#options.context.events.record({kind: 'not-taken', requestId, reason: 'connection closes'});
+	}
+
 	/** Ends a request that could not be decoded, and has been sent nowhere. */
 	#failInternally(callerResponse: CallerResponse, error: unknown): void {
 		this.#options.context.events.record({
@@ -230,9 +264,17 @@
 		const {context, dialect, readDelay} = this.#options;
 		const arrival = readDelay.arrivalOn(req.socket);
 		const caller = dialect.readRequest(req.method ?? 'GET', req.url ?? '/', req.headers, req.rawHeaders);
+		const open = this.#openResponses.get(res);
+		if (open !== undefined) {
+			open.requestId = caller.id;
+		}
+
 		const body = await readBody(req, context.config.current?.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES);
 		if (body === 'broken' || body === 'too-large') {
-			context.events.record({kind: 'skipped-input', where: 'caller', detail: `body ${body}, request ${caller.id}`});
+			const {disconnect} = callerResponse;
+			context.events.record({
+				kind: 'skipped-input', where: 'caller', detail: `body ${body}, request ${caller.id}`, requestId: caller.id, disconnect,
+			});
 		}
 
 		if (body === 'broken') {
@@ -247,8 +289,8 @@
 		}
 
 		const handler = RequestHandler.create(context, {req: caller, body, arrival}, callerResponse);
-		if (this.#openResponses.has(res)) {
-			this.#openResponses.set(res, handler);
+		if (open !== undefined) {
+			open.handler = handler;
 		}
 
 		await handler.run();
--- a/packages/gateway/src/event-log.ts
+++ b/packages/gateway/src/event-log.ts
@@ -29,6 +29,9 @@
 	readonly sinceByteMs: number | undefined;
 	/** Since the entry began to stop; undefined if it does not. */
 	readonly sinceStopMs: number | undefined;
+	/** Time by which the request's own time was over at least, and at most; negative if it was not. Undefined without a route. */
+	readonly minOverdueMs: number | undefined;
+	readonly maxOverdueMs: number | undefined;
 };
 
 /** Summary of a request, with the configuration that applied to it. */
@@ -74,7 +77,11 @@
 		| {readonly kind: 'dependency'; readonly dependency: string; readonly isReachable: boolean; readonly detail: string}
 		/** An exception that ended one unit of work: a request, a message of another entry, or one round of a task. */
 		| {readonly kind: 'internal-error'; readonly where: string; readonly requestId: string | undefined; readonly error: unknown}
-		| {readonly kind: 'skipped-input'; readonly where: string; readonly detail: string}
+		| {readonly kind: 'skipped-input'; readonly where: string; readonly detail: string; readonly requestId?: string; readonly disconnect?: Disconnect | undefined}
+		/** A request that was read, and gets no answer since its connection closes. */
+		| {readonly kind: 'not-taken'; readonly requestId: string | undefined; readonly reason: string}
+		/** A connection was closed after its last response, of which bytes could not be written. */
+		| {readonly kind: 'unsent'; readonly bytes: number}
 		| {readonly kind: 'lifecycle'; readonly step: string; readonly detail: Readonly<Record<string, unknown>>};
 
 /** Rate limit for routine lines, per second; a fully loaded entry has about 30 requests a second. */
@@ -181,7 +188,9 @@
 			}
 
 			case 'caller-left':
-			case 'closed': {
+			case 'closed':
+			case 'not-taken':
+			case 'unsent': {
 				this.#metrics.count('refusals', event.kind);
 				return;
 			}
@@ -341,7 +350,20 @@
 			}
 
 			case 'skipped-input': {
-				this.#logger.warn('input skipped', {where: event.where, detail: event.detail});
+				const {where, detail, requestId, disconnect} = event;
+				this.#logger.warn('input skipped', {
+					where, detail, requestId, ...disconnect,
+				});
+				return;
+			}
+
+			case 'not-taken': {
+				this.#logger.warn('request not taken', {requestId: event.requestId, reason: event.reason});
+				return;
+			}
+
+			case 'unsent': {
+				this.#logger.warn('bytes not sent', {bytes: event.bytes});
 				return;
 			}
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -185,7 +185,7 @@
 
 	/** Describes the requests that are open now, for the log. */
 	describeOpen(): LogFields {
-		return {openRequests: this.#callerServer?.openRequests ?? 0, requests: this.#callerServer?.describeOpen() ?? []};
+		return {openRequests: this.#callerServer?.openRequests ?? 0, requests: this.#callerServer?.describeOpen() ?? [], lingeringConnections: this.#callerServer?.lingeringConnections ?? 0};
 	}
 
 	/**
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -287,7 +287,7 @@
 			}
 
 			case 'stopped': {
-				return event.stop === 'caller-left' ? {kind: 'done'} : this.#failTimedOut();
+				return event.stop === 'caller-left' ? {kind: 'done'} : this.#failTimedOut(event.stop);
 			}
 
 			case 'threw': {
@@ -875,7 +875,11 @@
 		return {kind: 'refuse', reason: (this.#mayHaveRun || this.#unsettledAttempts > 0) && refusalOf(reason).isNotRun ? 'unknown-outcome' : reason, detail: this.#failureDetail === '' ? detail : this.#failureDetail};
 	}
 
-	#failTimedOut(): FinalResult {
+	#failTimedOut(stop: 'deadline' | 'stopping'): FinalResult {
+		if (stop === 'stopping' && this.#callerResponse.isStarted) {
+			return this.#cutOffResponse(undefined, 'stopping');
+		}
+
 		return this.#attempts === 0 ? this.#end('timeout-before-sent') : this.#end('timeout', `silent at ${this.#lastEndpoint}`);
 	}
 
@@ -895,7 +899,15 @@
 		const now = this.#monotonicNow();
 		const ageOf = (at: number | undefined) => at === undefined ? undefined : Math.round(now - at);
 		const stopAgeMs = this.#context.shutdown.ageMs;
-		return {sinceEventMs: ageOf(this.#progress.lastEventAt), sinceByteMs: ageOf(this.#progress.lastByteAt), sinceStopMs: stopAgeMs === undefined ? undefined : Math.round(stopAgeMs)};
+		const timeMs = this.#route === undefined ? undefined : callTimeOf(this.#route, this.#req);
+		const overdueFrom = ({monotonicMs}: Instant) => timeMs === undefined ? undefined : Math.round(now - monotonicMs - timeMs);
+		return {
+			sinceEventMs: ageOf(this.#progress.lastEventAt),
+			sinceByteMs: ageOf(this.#progress.lastByteAt),
+			sinceStopMs: stopAgeMs === undefined ? undefined : Math.round(stopAgeMs),
+			minOverdueMs: overdueFrom(this.#arrival.latest),
+			maxOverdueMs: overdueFrom(this.#arrival.earliest),
+		};
 	}
 
 	#refuse(reason: RefusalReason, detail: string): void {
