Own stack: an entry ends no request before its caller's deadline

That bound is safe for the time that endpoints are told, not for the answer to the caller. After a pause of the entry it is too early by the whole pause. It was also compared on the wall clock, whose steps forward end requests too soon.

Callers saw 504 (409 for bookings) 1.5 to 1.9 s before their deadline of 5 s, after an entry's pause of 2.5 s, while an endpoint was silent; the attempt at the endpoint was cancelled. Streams that have begun have no deadline in the own stack; they were not ended by this.

Now: nothing is sent after the earliest deadline, and an attempt in progress goes on until the latest one, on the monotonic clock, plus 100 ms.

--- a/packages/entry/src/at-most-once-call.ts
+++ b/packages/entry/src/at-most-once-call.ts
@@ -149,7 +149,7 @@
 			path: rule.lookup.replace('{key}', encodeURIComponent(held.key.idempotencyKey)),
 			headers: {},
 			body: new Uint8Array(),
-			deadline: Date.now() + LOOKUP_TIMEOUT_MS,
+			deadline: {sendBy: Date.now() + LOOKUP_TIMEOUT_MS, endAt: performance.now() + LOOKUP_TIMEOUT_MS},
 			atMostOnce: false,
 			response: call.response.createDetached(),
 			signal,
--- a/packages/entry/src/caller-response.ts
+++ b/packages/entry/src/caller-response.ts
@@ -53,7 +53,7 @@
 		return this.#streaming;
 	}
 
-	/** When data was last received, ms since the epoch; 0 if never. */
+	/** When data was last received, on the monotonic clock in ms; 0 if never. */
 	get progressAt(): number {
 		return this.#progressAt;
 	}
@@ -80,7 +80,7 @@
 		}
 
 		this.#head = head;
-		this.#progressAt = Date.now();
+		this.#progressAt = performance.now();
 		this.#chunks = [];
 		this.#checksum = Checksum.create();
 		if ((head.headers['content-type'] ?? '').startsWith(EVENT_STREAM_TYPE)) {
@@ -91,7 +91,7 @@
 
 	/** Writes or buffers the next bytes. */
 	write(data: Uint8Array): void {
-		this.#progressAt = Date.now();
+		this.#progressAt = performance.now();
 		this.#checksum.add(data);
 		if (!this.#streaming) {
 			this.#chunks.push(data);
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -9,7 +9,9 @@
 import {CallerResponse} from './caller-response.js';
 import {AttemptTable} from './attempt-table.js';
 import {ClaimService} from './claim-service.js';
-import {parseDeadline, forwardedHeaders, authenticateWorkspace} from './caller.js';
+import {
+	parseDeadline, forwardedHeaders, authenticateWorkspace, type Deadline,
+} from './caller.js';
 import {EndpointRouter} from './endpoint-router.js';
 import {FirstStart} from './first-start.js';
 import {qualifiedModelName, parseInferenceRequest} from './inference-request.js';
@@ -64,7 +66,7 @@
 	readonly res: FastifyReply;
 	readonly requestId: string;
 	readonly workspace: WorkspaceRule;
-	readonly deadline: number;
+	readonly deadline: Deadline;
 	readonly startedAt: number;
 	readonly signal: AbortSignal;
 };
@@ -243,7 +245,7 @@
 			return;
 		}
 
-		const deadline = parseDeadline(req.headers, arrival.earliest.wallMs);
+		const deadline = parseDeadline(req.headers, arrival);
 		if (deadline === undefined) {
 			this.#refuse(res, requestId, createRefusal('bad-request', 'not-run', 'x-deadline-ms is not a number of milliseconds'));
 			return;
--- a/packages/entry/src/model-request.ts
+++ b/packages/entry/src/model-request.ts
@@ -3,6 +3,7 @@
  * idempotent: a lost attempt is resumed or retried at another endpoint, within the
  * deadline and the retry budget; a silent one goes on beside the next.
  */
+import {type Deadline} from './caller.js';
 import {type CallerResponse} from './caller-response.js';
 import {Attempt, type AttemptResult, type AttemptSink} from './attempt.js';
 import {type AttemptTable} from './attempt-table.js';
@@ -70,8 +71,8 @@
 	readonly path: string;
 	readonly headers: Readonly<Record<string, string>>;
 	readonly body: Uint8Array;
-	/** Deadline for the first byte, ms since the epoch. */
-	readonly deadline: number;
+	/** For the first byte. */
+	readonly deadline: Deadline;
 	readonly response: CallerResponse;
 	/** Aborted when the caller disconnects. */
 	readonly signal: AbortSignal;
@@ -154,9 +155,9 @@
 	}
 
 	async #makeAttempt(attempt: RequestAttempt): Promise<AttemptEnd> {
-		const stop = checkPatience(this.#options.deadline, this.#options.response, Date.now());
+		const stop = checkPatience(this.#options.deadline, this.#options.response);
 		if (stop !== undefined) {
-			return notBegun(stop, true);
+			return notBegun(stop.refusal, stop.isFinal);
 		}
 
 		if (this.#attemptCount - this.#isolationRefusals >= MAX_ATTEMPTS && !this.#options.response.streaming) {
@@ -260,7 +261,7 @@
 	#permitRequest(signal: AbortSignal): PermitRequest {
 		const {inference, requestId, deadline} = this.#options;
 		return {
-			fingerprint: inference.fingerprint, permitId: `${requestId}/${this.#attemptCount + 1}`, deadline, signal,
+			fingerprint: inference.fingerprint, permitId: `${requestId}/${this.#attemptCount + 1}`, deadline: deadline.sendBy, signal,
 		};
 	}
 
@@ -285,7 +286,7 @@
 			return createRefusal(choice.reason, 'not-run', `no endpoint takes work for ${this.#options.model}`, 1);
 		}
 
-		const admission = admit({waitMs: choice.expectedWaitMs, errorFactor: 1}, this.#options.deadline, Date.now());
+		const admission = admit({waitMs: choice.expectedWaitMs, errorFactor: 1}, this.#options.deadline.sendBy, Date.now());
 		if (admission.kind === 'refused' && !this.#options.response.streaming) {
 			return createRefusal(admission.reason, 'not-run', 'the request cannot meet its deadline', admission.retryAfterMs / 1000);
 		}
@@ -384,7 +385,7 @@
 			workspace: workspace.name,
 			priority: workspace.priority,
 			weight: workspace.weight,
-			deadlineMs: response.streaming ? Number.MAX_SAFE_INTEGER : Math.max(0, deadline - Date.now()),
+			deadlineMs: response.streaming ? Number.MAX_SAFE_INTEGER : Math.max(0, deadline.sendBy - Date.now()),
 			solo: permit.solo,
 			fingerprint: inference.fingerprint,
 			target: 'model',
--- a/packages/entry/src/overlapping-attempts.ts
+++ b/packages/entry/src/overlapping-attempts.ts
@@ -1,5 +1,6 @@
 /** Makes the attempts of one request: another one when one has failed, and one beside an attempt that is silent. */
 import {type SilenceReason} from './attempt.js';
+import {type Deadline} from './caller.js';
 import {type CallerResponse} from './caller-response.js';
 import {createRefusal, type Refusal} from './refusal.js';
 import {sleep, type ErrorListener} from '#core';
@@ -99,13 +100,17 @@
 	}
 }
 
-/** Why no attempt may be made any more, whatever is still open; undefined if one may. `deadline`: for the first byte, ms since the epoch. */
-export function checkPatience(deadline: number, response: CallerResponse, now: number): Refusal | undefined {
+/** Why no attempt may be made any more; undefined if one may. `isFinal`: those that are open end too, since the caller's deadline has surely passed. */
+export function checkPatience({sendBy, endAt}: Deadline, response: CallerResponse): {readonly refusal: Refusal; readonly isFinal: boolean} | undefined {
+	const now = performance.now();
 	if (response.streaming) {
 		return now - response.progressAt > MAX_STREAM_SILENCE_MS
-			? createRefusal('stream-lost', 'unknown', `the stream was silent for ${MAX_STREAM_SILENCE_MS / 1000} s`)
+			? {refusal: createRefusal('stream-lost', 'unknown', `the stream was silent for ${MAX_STREAM_SILENCE_MS / 1000} s`), isFinal: true}
 			: undefined;
 	}
 
-	return now >= deadline ? createRefusal('deadline', 'not-run', 'the deadline passed before an endpoint answered') : undefined;
+	const isOver = now >= endAt;
+	return isOver || Date.now() >= sendBy
+		? {refusal: createRefusal('deadline', 'not-run', 'the deadline passed before an endpoint answered'), isFinal: isOver}
+		: undefined;
 }
--- a/packages/entry/src/service-request.ts
+++ b/packages/entry/src/service-request.ts
@@ -2,6 +2,7 @@
  * One call to a plain service. An idempotent call is retried like an inference request; a
  * non-idempotent one is sent at most once, after its key was claimed, and waited for until its deadline.
  */
+import {type Deadline} from './caller.js';
 import {type CallerResponse, type BufferedResponse} from './caller-response.js';
 import {Attempt, type AttemptResult} from './attempt.js';
 import {toRefusalReason, type RequestContext, type RequestResult} from './model-request.js';
@@ -31,7 +32,7 @@
 	readonly path: string;
 	readonly headers: Readonly<Record<string, string>>;
 	readonly body: Uint8Array;
-	readonly deadline: number;
+	readonly deadline: Deadline;
 	/** True if the call must run at most once. */
 	readonly atMostOnce: boolean;
 	readonly response: CallerResponse;
@@ -105,9 +106,9 @@
 			return {kind: 'abandoned'};
 		}
 
-		const stop = checkPatience(deadline, response, Date.now());
+		const stop = checkPatience(deadline, response);
 		if (stop !== undefined) {
-			return {kind: 'not-begun', refusal: atMostOnce && this.#outcome === 'unknown' ? this.#outcomeUnknown() : stop, isFinal: true};
+			return {kind: 'not-begun', refusal: atMostOnce && this.#outcome === 'unknown' ? this.#outcomeUnknown() : stop.refusal, isFinal: stop.isFinal};
 		}
 
 		const obstacle = this.#checkRetry();
@@ -216,7 +217,7 @@
 				workspace: workspace.name,
 				priority: workspace.priority,
 				weight: workspace.weight,
-				deadlineMs: Math.max(0, deadline - Date.now()),
+				deadlineMs: Math.max(0, deadline.sendBy - Date.now()),
 				solo: 'shared',
 				fingerprint: '',
 				target: 'service',
