Do not end a begun stream before its caller's time is surely over

Callers saw the connection of a stream closed up to 0.6 s before their time, where an entry had less than its core, a body was sent late, or a connection was opened ahead of its request; beside a SIGTERM that is a lost request.

Cause: the request's own end counted from the latest arrival of its connection, or of its head. Neither is an upper bound for the arrival of its last byte. Class: a bound that is safe in one direction used in the other.

Change: the latest arrival of a request is when its last byte was read, which can only be late. Once the head of an answer is sent, the request ends 100 ms (BEGUN_STREAM_MARGIN_MS) after its time from there; until then it ends at its time, with a complete answer. The time handed on still counts from the earliest arrival. The end of the grace period is left to its own signal. The moments that bounded the arrival of connections from above are gone.

Ending a begun stream sooner won nothing: its replica stops at the time that it was handed, and a caller that leaves closes its connection. The end is kept for replicas that go on beyond it: an answer may be held for less than 0.25 s.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -262,7 +262,7 @@
 
 	async #serve(req: IncomingMessage, res: ServerResponse, callerResponse: CallerResponse): Promise<void> {
 		const {context, dialect, readDelay} = this.#options;
-		const arrival = readDelay.arrivalOn(req.socket);
+		const headArrival = readDelay.arrivalOn(req.socket);
 		const caller = dialect.readRequest(req.method ?? 'GET', req.url ?? '/', req.headers, req.rawHeaders);
 		const open = this.#openResponses.get(res);
 		if (open !== undefined) {
@@ -288,6 +288,7 @@
 			return;
 		}
 
+		const arrival = {...headArrival, latest: context.now()};
 		const handler = RequestHandler.create(context, {req: caller, body, arrival}, callerResponse);
 		if (open !== undefined) {
 			open.handler = handler;
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -75,6 +75,9 @@
 /** A failure that an endpoint answered with is passed on this long before the caller's deadline if no other attempt delivers, in ms. */
 const RESPONSE_MARGIN_MS = 100;
 
+/** A stream that has begun ends this long after its caller's time, in ms: the caller disconnects first if it counts from when it sent its request. */
+const BEGUN_STREAM_MARGIN_MS = 100;
+
 /** Interval at which an attempt beside silent ones is asked for again, in ms. */
 const ASK_AGAIN_INTERVAL_MS = 250;
 
@@ -234,11 +237,11 @@
 		const race: Race = AttemptRace.create({
 			callerDisconnected: this.#callerResponse.disconnected,
 			requestsEnded: this.#context.shutdown.requestsEnded,
-			timeoutMs: this.#remainingMs(route),
+			timeoutMs: this.#callTimeMs(route),
 			onLateError: this.#context.events.errorListener('request'),
 		});
 		try {
-			this.#start(race, async attempt => this.#attempt(route, attempt));
+			this.#start(route, race, async attempt => this.#attempt(route, attempt));
 			for (;;) {
 				const final = this.#handleEvent(route, race, await race.next());
 				if (final !== undefined) {
@@ -250,10 +253,10 @@
 		}
 	}
 
-	#start(race: Race, run: (attempt: Attempt) => Promise<AttemptEnd>): void {
+	#start(route: Route, race: Race, run: (attempt: Attempt) => Promise<AttemptEnd>): void {
 		race.start(async racing => {
 			const attempt: Attempt = {
-				...racing, probedCauses: this.#grantedCauses, permittedAt: undefined, grantedRetry: this.#grantedRetry,
+				...racing, claim: () => this.#claim(route, race, racing), probedCauses: this.#grantedCauses, permittedAt: undefined, grantedRetry: this.#grantedRetry,
 			};
 			this.#grantedCauses = [];
 			this.#grantedRetry = undefined;
@@ -273,6 +276,16 @@
 		});
 	}
 
+	/** Claims the caller for an attempt. From then on the request ends only when its caller's time is surely over. */
+	#claim(route: Route, race: Race, racing: RacingAttempt<EndpointRecord>): boolean {
+		const isClaimed = racing.claim();
+		if (isClaimed && !this.#callerResponse.isStarted) {
+			race.stopWithin(this.#callTimeMs(route) + BEGUN_STREAM_MARGIN_MS);
+		}
+
+		return isClaimed;
+	}
+
 	/** Returns the final result, or undefined while attempts are open. */
 	#handleEvent(route: Route, race: Race, event: RaceEvent<AttemptEnd, EndpointRecord>): FinalResult | undefined {
 		switch (event.kind) {
@@ -280,7 +293,7 @@
 				this.#lastSilent = event.source;
 				this.#recordOutcome(event.source.id, 'silent');
 				if (!race.isAnyActive && this.#isCallerPatient(route)) {
-					this.#start(race, async attempt => this.#attemptBeside(route, {silent: event.source, isRepeated: false}, attempt));
+					this.#start(route, race, async attempt => this.#attemptBeside(route, {silent: event.source, isRepeated: false}, attempt));
 				}
 
 				return undefined;
@@ -344,7 +357,7 @@
 		const retry = race.isAnyActive ? 'not-needed' : this.#decideRetry(route, failure);
 		this.#failureReason = retry === 'no-endpoint' && failure.retryAfterS !== undefined ? 'endpoint-wait' : failure.finalReason;
 		if (retry === 'taken') {
-			this.#start(race, async attempt => this.#attempt(route, attempt));
+			this.#start(route, race, async attempt => this.#attempt(route, attempt));
 		} else {
 			this.#releaseRetry();
 		}
@@ -384,7 +397,7 @@
 			return;
 		}
 
-		this.#start(race, async attempt => {
+		this.#start(route, race, async attempt => {
 			await sleep(ASK_AGAIN_INTERVAL_MS, attempt.signal);
 			return this.#attemptBeside(route, {silent, isRepeated: true}, attempt);
 		});
--- a/packages/requests/src/backlog-probe.ts
+++ b/packages/requests/src/backlog-probe.ts
@@ -22,9 +22,6 @@
 
 type Probe = {readonly startedAt: Instant; readonly socket: Socket};
 
-/** A probe that is in the backlog since `connectedAt`, at the latest. */
-type WaitingProbe = Probe & {readonly connectedAt: Instant};
-
 export class BacklogProbe {
 	/** @param listener - Address at which the connections arrive. */
 	static create(listener: Address, readDelay: ReadDelay, now: () => Instant): BacklogProbe {
@@ -35,8 +32,8 @@
 	#connecting: Probe | undefined;
 	/** Connections by their remote address that were accepted meanwhile. */
 	readonly #accepted = new Map<string, Socket>();
-	/** Connected probes that were not accepted, by their own address, the oldest first. */
-	readonly #waiting = new Map<string, WaitingProbe>();
+	/** Connected probes that were not accepted, by their own address. */
+	readonly #waiting = new Map<string, Probe>();
 	#lastStartedAtMs = Number.NEGATIVE_INFINITY;
 	readonly #listener: Address;
 	readonly #readDelay: ReadDelay;
@@ -53,8 +50,7 @@
 		const address = remoteAddressOf(connection);
 		const probe = this.#waiting.get(address);
 		this.#waiting.delete(address);
-		const [oldest] = this.#waiting.values();
-		this.#readDelay.recordAccept(connection, oldest?.connectedAt);
+		this.#readDelay.recordAccept(connection);
 		if (probe !== undefined) {
 			this.#finish(probe, connection);
 		} else if (this.#connecting !== undefined) {
@@ -96,7 +92,7 @@
 		this.#accepted.clear();
 		probe.socket.setTimeout(0);
 		if (connection === undefined) {
-			this.#waiting.set(address, {...probe, connectedAt: this.#now()});
+			this.#waiting.set(address, probe);
 			probe.socket.once('close', () => {
 				this.#waiting.delete(address);
 			});
--- a/packages/requests/src/read-delay.ts
+++ b/packages/requests/src/read-delay.ts
@@ -20,14 +20,12 @@
 export type Arrival = {
 	/** At the earliest: time that is handed on counts from it, so that it is never more than what is left. */
 	readonly earliest: Instant;
-	/** At the latest, or its connection did: the request ends by it, so that it never ends before its time. */
+	/** At the latest: when it was read. The request's own end counts from it, so that it is never before its time. */
 	readonly latest: Instant;
 	/** Time for which it waited before it was read, at most, in ms. */
 	readonly readDelayMs: number;
 };
 
-type Bounds = Pick<Arrival, 'earliest' | 'latest'>;
-
 /** A moment whose earlier bytes have all been delivered. */
 type Mark = {readonly at: Instant; readonly idleMs: number};
 
@@ -46,9 +44,7 @@
 	/** Since when there may have been connections to accept; undefined if there are none. Node accepts one per poll. */
 	#backlogSince: Instant | undefined;
 	/** When connections arrived that have not been polled since they were accepted; their bytes may have waited as long. */
-	readonly #unpolled = new Map<Socket, Bounds>();
-	/** When the first event of the current poll was delivered; undefined before it. */
-	#polledAt: Instant | undefined;
+	readonly #unpolled = new Map<Socket, Instant>();
 	readonly #clock: ReadDelayClock;
 
 	private constructor(clock: ReadDelayClock) {
@@ -84,16 +80,12 @@
 		return Math.max(0, delayMs);
 	}
 
-	/**
-	 * Registers a connection when it is accepted.
-	 *
-	 * @param arrivedBy - Moment at which it had arrived, if that is known.
-	 */
-	recordAccept(connection: Socket, arrivedBy?: Instant): void {
+	/** Registers a connection when it is accepted. */
+	recordAccept(connection: Socket): void {
 		this.#accepts += 1;
 		const count = this.#accepts;
 		this.#backlogSince ??= this.#earliestArrival();
-		this.#unpolled.set(connection, {earliest: this.#backlogSince, latest: arrivedBy ?? this.#latestArrival()});
+		this.#unpolled.set(connection, this.#backlogSince);
 		this.#markNextPoll(() => {
 			this.#unpolled.delete(connection);
 			if (this.#accepts === count) {
@@ -125,7 +117,8 @@
 
 	/** Arrival of bytes that were just read from a connection. */
 	arrivalOn(connection: Socket): Arrival {
-		const {earliest, latest} = this.#unpolled.get(connection) ?? {earliest: this.#earliestArrival(), latest: this.#latestArrival()};
+		const latest = this.#clock.now();
+		const earliest = this.#unpolled.get(connection) ?? this.#earliestArrival();
 		if (!this.#isMarking) {
 			this.#isMarking = true;
 			this.#markNextPoll(() => {
@@ -133,7 +126,7 @@
 			});
 		}
 
-		return {earliest, latest, readDelayMs: elapsedMs(earliest, this.#clock.now())};
+		return {earliest, latest, readDelayMs: elapsedMs(earliest, latest)};
 	}
 
 	/** Marks the poll after the current one, which does not wait. */
@@ -155,16 +148,4 @@
 		const delayMs = Math.max(0, elapsedMs(this.#mark.at, now) - idleMs);
 		return {monotonicMs: now.monotonicMs - delayMs, wallMs: now.wallMs - delayMs};
 	}
-
-	/** What the current poll delivers had arrived before its first event was delivered. */
-	#latestArrival(): Instant {
-		if (this.#polledAt === undefined) {
-			this.#polledAt = this.#clock.now();
-			this.#clock.afterPoll(() => {
-				this.#polledAt = undefined;
-			});
-		}
-
-		return this.#polledAt;
-	}
 }
