Hold a begun stream that ended at the handed-on time until its caller's is over

Callers saw: a stream that outlasts its time is closed some 15 ms, or by as much as the wait of its request is overestimated, before that time. Cause: an endpoint ends by itself at the time that it was handed, which is sooner than the caller's on purpose. The entry then had no time for another attempt and cut the stream at once. Ruled out: handing on more time (BUDGET), and holding streams that break earlier, which have nothing to wait for. stream-ended-at-deadline.test.ts: the reason was unknown-outcome, at once; now the stream ends as timeout, after its time. One that breaks long before still ends at once.

--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -365,6 +365,11 @@
 		}
 
 		const isLast = !race.isAnyOpen;
+		if (isLast && this.#isEndedByDeadline(route)) {
+			this.#recordAttemptFailure({...failure, retry});
+			return undefined;
+		}
+
 		if (!isLast && failure.respond !== undefined) {
 			race.stopWithin(this.#remainingMs(route) - RESPONSE_MARGIN_MS);
 		}
@@ -376,6 +381,11 @@
 		return isLast ? (failure.respond?.() ?? this.#end(this.#failureReason)) : undefined;
 	}
 
+	/** Whether a stream that has begun ended at the time that was handed on, which is sooner than its caller's. */
+	#isEndedByDeadline(route: Route): boolean {
+		return this.#callerResponse.isStarted && callTimeOf(route, this.#req) - this.#elapsedMs() < MIN_ATTEMPT_MS && this.#unframedEnd === undefined;
+	}
+
 	#decideRetry(route: Route, {retry}: FailedAttempt): RetryDecision {
 		switch (retry) {
 			case 'free': {
