Do not end a begun stream early for a failure of another attempt

A stream whose endpoint was silent was cut 0.1 s before its caller's time if the attempt beside it was answered with a failure: the margin in which such an answer is passed on applied also where the answer had begun, and the failure can't be passed on at all. It now applies only before the answer has begun, and counts from the earliest arrival: it is there to be in time.

--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -363,8 +363,8 @@
 		}
 
 		const isLast = !race.isAnyOpen;
-		if (!isLast && failure.respond !== undefined) {
-			race.stopWithin(this.#remainingMs(route) - RESPONSE_MARGIN_MS);
+		if (!isLast && failure.respond !== undefined && !this.#callerResponse.isStarted) {
+			race.stopWithin(this.#forwardedMs(route) - RESPONSE_MARGIN_MS);
 		}
 
 		if (!isLast || failure.respond === undefined) {
