--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -370,8 +370,8 @@
 			return undefined;
 		}
 
-		if (!isLast && failure.respond !== undefined) {
-			race.stopWithin(this.#remainingMs(route) - RESPONSE_MARGIN_MS);
+		if (!isLast && failure.respond !== undefined && !this.#callerResponse.isStarted) {
+			race.stopWithin(this.#forwardedMs(route) - RESPONSE_MARGIN_MS);
 		}
 
 		if (!isLast || failure.respond === undefined) {
