Let answers that have begun go on as if the stop signal had not waited

Cause: the wait of the signal is known as an upper bound only. It was taken from the grace period of all requests, so that a stream was cut by up to that wait too soon, although its signal had hardly waited. A paused process: 2.9 s and 1.8 s after SIGTERM where the pause before it was 0.7 and 2.0 s, 35 ms after it where it was 5 s.

The upper bound still decides which requests are taken, and when one without an answer gets its 504: both are safe if they come too soon. A begun answer ends by the other bound: no wait at all, less the same margin of 400 ms. A stream that begins during the stop is handed on that time too, since its replica would end it by the shorter one.

Weighed: why cut it before the kill at all? The caller sees the same close. What an end by itself adds is the exit code, the last line and a response that can be reset. If the signal has waited, the kill comes first; each answer that is still open has a line of its own then, `answer still open`, written 0.4 s before the earliest moment of the kill, so no kill leaves a request without a line.

A minimum of 300 ms for a stop whose signal seems to have waited for the whole grace period is gone: nothing is cut by that bound any more. The reason of a stream that is cut by a stop is `stopping`; it was `timeout`.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -55,6 +55,8 @@
 /** An open request: its summary, or that it is still being read. */
 export type OpenRequest = RequestSummary | 'being read';
 
+type OpenResponse = {readonly callerResponse: CallerResponse; readonly handler: RequestHandler | undefined};
+
 export class CallerServer {
 	/** Starts to listen. Rejects if the address is taken, or if the signal aborts before it is free. */
 	static async create(options: CallerServerOptions, signal: AbortSignal): Promise<CallerServer> {
@@ -66,7 +68,7 @@
 	readonly #server: Server;
 	#isDraining = false;
 	/** Open responses; without a handler while the request is read. */
-	readonly #openResponses = new Map<ServerResponse, RequestHandler | undefined>();
+	readonly #openResponses = new Map<ServerResponse, OpenResponse>();
 	/** Connections that have sent a request. */
 	readonly #connections = new Map<Socket, CallerConnection>();
 	/** Why this server closed connections. */
@@ -88,17 +90,17 @@
 				return;
 			}
 
-			this.#openResponses.set(res, undefined);
+			const callerResponse = CallerResponse.create(res, {
+				closesAfter: isRequired => connection.closesAfter(res, isRequired ? 'must-close' : (this.#isDraining ? 'close' : 'keep')),
+				closeReason: () => this.#closeReasons.get(req.socket),
+			});
+			this.#openResponses.set(res, {callerResponse, handler: undefined});
 			res.once('close', () => {
 				this.#openResponses.delete(res);
 			});
 			res.once('prefinish', () => {
 				this.#cutUnread();
 			});
-			const callerResponse = CallerResponse.create(res, {
-				closesAfter: isRequired => connection.closesAfter(res, isRequired ? 'must-close' : (this.#isDraining ? 'close' : 'keep')),
-				closeReason: () => this.#closeReasons.get(req.socket),
-			});
 			if (req.httpVersion === '1.1' && req.headers.host === undefined) {
 				options.context.events.record({kind: 'skipped-input', where: 'caller', detail: 'no host'});
 				callerResponse.sendComplete(BAD_REQUEST_STATUS, [], Buffer.alloc(0), 'closed');
@@ -152,7 +154,7 @@
 
 	/** Describes the open requests, the oldest first, up to a limit. */
 	describeOpen(): readonly OpenRequest[] {
-		return [...this.#openResponses.values()].slice(0, MAX_DESCRIBED_REQUESTS).map(handler => handler?.describe() ?? 'being read');
+		return [...this.#openResponses.values()].slice(0, MAX_DESCRIBED_REQUESTS).map(({handler}) => handler?.describe() ?? 'being read');
 	}
 
 	/** Applies the idle timeout of a configuration, in ms. */
@@ -165,6 +167,15 @@
 		this.#isDraining = true;
 	}
 
+	/** Prepares the responses that have begun and are not complete for an end of the process at any moment: they are logged. */
+	prepareForEnd(): void {
+		for (const [res, {callerResponse, handler}] of this.#openResponses) {
+			if (callerResponse.isStarted && !res.writableEnded) {
+				handler?.recordStillOpen();
+			}
+		}
+	}
+
 	/** Stops accepting connections and closes idle ones; requests in progress continue. */
 	stopListening(): void {
 		// The HTTP server's own method would also close connections whose response is not written out yet.
@@ -183,7 +194,7 @@
 	#cutUnread(): void {
 		const unread = [...this.#openResponses].filter(([res]) => res.writableEnded && res.writableLength > 0 && !res.req.socket.destroyed);
 		let bytes = unread.reduce((sum, [res]) => sum + res.writableLength, 0);
-		for (const [res, handler] of unread) {
+		for (const [res, {handler}] of unread) {
 			if (bytes <= MAX_UNREAD_BYTES) {
 				return;
 			}
@@ -248,7 +259,7 @@
 
 		const handler = RequestHandler.create(context, {req: caller, body, arrival}, callerResponse);
 		if (this.#openResponses.has(res)) {
-			this.#openResponses.set(res, handler);
+			this.#openResponses.set(res, {callerResponse, handler});
 		}
 
 		await handler.run();
--- a/packages/gateway/src/event-log.ts
+++ b/packages/gateway/src/event-log.ts
@@ -55,6 +55,8 @@
 	= | {readonly kind: 'answered'; readonly facts: RequestSummary; readonly endpoint: string; readonly status: number; readonly firstByteMs: number}
 		| {readonly kind: 'refused'; readonly facts: RequestSummary; readonly reason: RefusalReason; readonly status: number; readonly retryAfterS: number | undefined; readonly detail: string | undefined}
 		| {readonly kind: 'cut'; readonly facts: RequestSummary; readonly endpoint: string; readonly reason: string; readonly lastEventId: number | undefined; readonly ages: CutAges}
+		/** A response that goes on while the process may be killed at any moment, after which no line could follow. */
+		| {readonly kind: 'still-open'; readonly facts: RequestSummary; readonly endpoint: string; readonly lastEventId: number | undefined; readonly ages: CutAges}
 		| ({readonly kind: 'caller-left'; readonly facts: RequestSummary} & CallerDisconnect)
 		/** This entry closed the connection before the response was complete, other than by cutting off the response. */
 		| {readonly kind: 'closed'; readonly facts: RequestSummary; readonly reason: string}
@@ -156,7 +158,7 @@
 	}
 
 	#count(event: EntryEvent): void {
-		if ('facts' in event) {
+		if ('facts' in event && event.kind !== 'still-open') {
 			this.#metrics.recordLatency('readDelay', event.facts.readDelayMs);
 		}
 
@@ -233,6 +235,7 @@
 				break;
 			}
 
+			case 'still-open':
 			case 'limit-suspended':
 			case 'endpoint-limit':
 			case 'endpoint':
@@ -271,6 +274,13 @@
 				return;
 			}
 
+			case 'still-open': {
+				this.#logger.warn('answer still open', {
+					...event.facts, endpoint: event.endpoint, lastEventId: event.lastEventId, ...event.ages,
+				});
+				return;
+			}
+
 			case 'caller-left': {
 				const {kind, facts, ...disconnect} = event;
 				this.#logger.info('caller left', {...facts, ...disconnect});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -68,9 +68,6 @@
 /** Stopping ends this long before the process would be killed, in ms. */
 const STOP_MARGIN_MS = 150;
 
-/** Shortest time for a stop, in ms, if its signal seems to have waited for the whole grace period: requests in progress are still answered. */
-const MIN_STOP_MS = 300;
-
 /** Interval at which a stopping entry checks whether all requests have ended, in ms. */
 const STOP_POLL_MS = 50;
 
@@ -206,12 +203,15 @@
 		};
 
 		const startedAt = performance.now();
-		const endsAt = startedAt + Math.max(MIN_STOP_MS, this.#options.graceMs - signalDelayMs - STOP_MARGIN_MS);
+		const endsAt = startedAt + this.#options.graceMs - STOP_MARGIN_MS;
 		runStep(() => {
 			this.#events.record({kind: 'lifecycle', step: 'stopping', detail: {openRequests: this.#callerServer?.openRequests, signalDelayMs: Math.round(signalDelayMs)}});
 		});
 		runStep(() => this.#callerServer?.startDraining());
-		await sleep(Math.min(this.#shutdown.deregistrationDelayMs, this.#shutdown.remainingMs()));
+		this.#shutdown.answersDue.addEventListener('abort', () => {
+			runStep(() => this.#callerServer?.prepareForEnd());
+		}, {once: true});
+		await sleep(Math.min(this.#shutdown.deregistrationDelayMs, this.#shutdown.remainingMs('not-begun')));
 		await this.#backlogAccepted(endsAt);
 		runStep(() => this.#callerServer?.stopListening());
 		while (this.isBusy && performance.now() < endsAt) {
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -27,7 +27,7 @@
 } from '#dispatch';
 import {fingerprintOfCall, type CrashCause} from '#quarantine';
 import {
-	AttemptRace, type Arrival, type RaceEvent, type RacingAttempt,
+	AttemptRace, type Arrival, type RaceEvent, type RaceStop, type RacingAttempt,
 } from '#requests';
 
 /** State and services shared by all requests. */
@@ -200,6 +200,13 @@
 		return this.#summary();
 	}
 
+	/** Records, as this entry stops, that its response is not complete and goes on until the process ends. */
+	recordStillOpen(): void {
+		this.#context.events.record({
+			kind: 'still-open', facts: this.#summary(), endpoint: this.#lastEndpoint, lastEventId: this.#progress.lastEventId, ages: this.#cutAges(),
+		});
+	}
+
 	/** Records that its response is cut, since the caller has not read it. */
 	cutUnread(): void {
 		this.#recordCut(this.#lastEndpoint, 'not-read');
@@ -233,8 +240,9 @@
 	async #attemptUntilDone(route: Route): Promise<FinalResult> {
 		const race: Race = AttemptRace.create({
 			callerDisconnected: this.#callerResponse.disconnected,
+			answersDue: this.#context.shutdown.answersDue,
 			requestsEnded: this.#context.shutdown.requestsEnded,
-			timeoutMs: this.#remainingMs(route),
+			timeoutMs: this.#callTimeMs(route),
 			onLateError: this.#context.events.errorListener('request'),
 		});
 		try {
@@ -287,7 +295,7 @@
 			}
 
 			case 'stopped': {
-				return event.stop === 'caller-left' ? {kind: 'done'} : this.#failTimedOut();
+				return this.#handleStop(event.stop);
 			}
 
 			case 'threw': {
@@ -305,6 +313,22 @@
 		}
 	}
 
+	#handleStop(stop: RaceStop): FinalResult {
+		switch (stop) {
+			case 'caller-left': {
+				return {kind: 'done'};
+			}
+
+			case 'deadline': {
+				return this.#failTimedOut();
+			}
+
+			case 'stopping': {
+				return this.#callerResponse.isStarted ? this.#cutOffResponse(undefined, 'stopping') : this.#failTimedOut();
+			}
+		}
+	}
+
 	#handleEnd(route: Route, race: Race, end: AttemptEnd): FinalResult | undefined {
 		switch (end.kind) {
 			case 'done': {
@@ -974,12 +998,12 @@
 
 	/** Time until the request has to end, in ms: that of the call, or until this entry stops. */
 	#remainingMs(route: Route): number {
-		return Math.min(this.#callTimeMs(route), this.#context.shutdown.remainingMs());
+		return Math.min(this.#callTimeMs(route), this.#context.shutdown.remainingMs(this.#callerResponse.isStarted ? 'begun' : 'not-begun'));
 	}
 
 	/** Time that is left for an endpoint, in ms, at least. */
 	#forwardedMs(route: Route): number {
-		return Math.min(callTimeOf(route, this.#req) - this.#elapsedMs(), this.#context.shutdown.remainingMs());
+		return Math.min(callTimeOf(route, this.#req) - this.#elapsedMs(), this.#context.shutdown.remainingMs(route.kind.kind === 'stream' ? 'begun' : 'not-begun'));
 	}
 
 	/** Time until the caller's deadline or the route's timeout, whichever is sooner, in ms. */
--- a/packages/requests/src/attempt-race.ts
+++ b/packages/requests/src/attempt-race.ts
@@ -37,6 +37,8 @@
 export type AttemptRaceOptions = {
 	/** Without it, attempts go on after the caller has left. */
 	readonly callerDisconnected?: AbortSignal | undefined;
+	/** Aborts when a stopping entry has to answer; an attempt that has claimed the caller goes on. */
+	readonly answersDue?: AbortSignal | undefined;
 	/** Aborts when the requests of a stopping entry have to end. */
 	readonly requestsEnded?: AbortSignal | undefined;
 	/** Time until the race stops, in ms; unlimited without it. */
@@ -58,9 +60,10 @@
 	#wake: (() => void) | undefined;
 	readonly #closing = new AbortController();
 	#deadlineTimer: NodeJS.Timeout | undefined;
+	#isClaimed = false;
 	readonly #onLateError: (error: unknown) => void;
 
-	private constructor({callerDisconnected, requestsEnded, timeoutMs, onLateError}: AttemptRaceOptions) {
+	private constructor({callerDisconnected, answersDue, requestsEnded, timeoutMs, onLateError}: AttemptRaceOptions) {
 		this.#onLateError = onLateError;
 		if (timeoutMs !== undefined) {
 			this.stopWithin(timeoutMs);
@@ -70,6 +73,7 @@
 			clearTimeout(this.#deadlineTimer);
 		}, {once: true});
 		this.#stopOn(requestsEnded, 'stopping');
+		this.#stopOn(answersDue, 'stopping', () => !this.#isClaimed);
 		this.#stopOn(callerDisconnected, 'caller-left');
 	}
 
@@ -155,6 +159,7 @@
 			return false;
 		}
 
+		this.#isClaimed = true;
 		winner.isSilent = false;
 		this.#abortOpen('lost', winner);
 		return true;
@@ -180,7 +185,7 @@
 		return wasOpen;
 	}
 
-	#stopOn(signal: AbortSignal | undefined, stop: RaceStop): void {
+	#stopOn(signal: AbortSignal | undefined, stop: RaceStop, isStopping = () => true): void {
 		if (signal === undefined) {
 			return;
 		}
@@ -191,7 +196,9 @@
 		}
 
 		signal.addEventListener('abort', () => {
-			this.#stop(stop);
+			if (isStopping()) {
+				this.#stop(stop);
+			}
 		}, {once: true, signal: this.#closing.signal});
 	}
 
