Reset responses without a length that are not complete when their process ends

Cause: such a response ends with its connection. What the kernel has taken is still delivered after an exit or a kill, then the end: a part of it looks complete to its caller. Callers saw: 5,110,272 and 4,753,284 of 7,500,000 bytes and then a proper end, around a SIGTERM (caller that reads late).

Each has an `answer cut off` line with the reason `stopping`. `CallerResponse.destroy` resets as well.

--- a/packages/gateway/src/caller-response.ts
+++ b/packages/gateway/src/caller-response.ts
@@ -27,6 +27,8 @@
 	readonly #socket: Socket;
 	readonly #options: CallerResponseOptions;
 	#isDestroyed = false;
+	/** Whether only the end of the connection delimits the body. */
+	#isUnframed = false;
 
 	private constructor(res: ServerResponse, options: CallerResponseOptions) {
 		this.#res = res;
@@ -81,6 +83,7 @@
 	/** Sends a response that, like the endpoint's, is delimited only by the end of the connection, since its length is unknown. */
 	sendUnframed(status: number, headers: readonly string[], body: Uint8Array): void {
 		this.#res.useChunkedEncodingByDefault = false;
+		this.#isUnframed = true;
 		this.#writeHead(status, headers, 'closed');
 		this.#res.end(body);
 	}
@@ -113,12 +116,26 @@
 		this.#res.end();
 	}
 
-	/** Closes the connection, so that an incomplete stream does not look complete. */
+	/** Closes the connection, so that an incomplete response does not look complete. */
 	destroy(): void {
 		this.#isDestroyed = true;
+		if (this.#isUnframed) {
+			this.#socket.resetAndDestroy();
+		}
+
 		this.#res.destroy();
 	}
 
+	/** Resets the connection if the response is incomplete and would look complete at the end of this process. Returns whether it does. */
+	resetUnframed(): boolean {
+		const isCut = this.#isUnframed && !this.#res.writableFinished;
+		if (isCut) {
+			this.#socket.resetAndDestroy();
+		}
+
+		return isCut;
+	}
+
 	#writeHead(status: number, headers: readonly string[], connection: 'kept' | 'closed'): void {
 		const closing = this.#options.closesAfter(connection === 'closed') ? ['Connection', 'close'] : [];
 		this.#res.writeHead(status, [...headers, ...closing] as unknown as Record<string, string>);
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -167,10 +167,12 @@
 		this.#isDraining = true;
 	}
 
-	/** Prepares the responses that have begun and are not complete for an end of the process at any moment: they are logged. */
+	/** Prepares the responses that have begun and are not complete for an end of the process at any moment: they are logged, or reset if they would look complete. */
 	prepareForEnd(): void {
 		for (const [res, {callerResponse, handler}] of this.#openResponses) {
-			if (callerResponse.isStarted && !res.writableEnded) {
+			if (callerResponse.resetUnframed()) {
+				handler?.recordCutByEnd();
+			} else if (callerResponse.isStarted && !res.writableEnded) {
 				handler?.recordStillOpen();
 			}
 		}
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -207,6 +207,11 @@
 		});
 	}
 
+	/** Records that its response is cut, since the process ends. */
+	recordCutByEnd(): void {
+		this.#recordCut(this.#lastEndpoint, 'stopping');
+	}
+
 	/** Records that its response is cut, since the caller has not read it. */
 	cutUnread(): void {
 		this.#recordCut(this.#lastEndpoint, 'not-read');
