--- a/packages/gateway/src/caller-response.ts
+++ b/packages/gateway/src/caller-response.ts
@@ -29,7 +29,8 @@
 	readonly #socket: Socket;
 	readonly #options: CallerResponseOptions;
 	#isDestroyed = false;
-	#isStream = false;
+	/** Whether only the end of the connection delimits the body. */
+	#isUnframed = false;
 
 	private constructor(res: ServerResponse, options: CallerResponseOptions) {
 		this.#res = res;
@@ -74,9 +75,9 @@
 		return this.#res.headersSent;
 	}
 
-	/** Whether only the end of the connection delimits a response that has begun as a stream. */
-	get isUnframedStream(): boolean {
-		return this.#isStream && !this.#res.chunkedEncoding;
+	/** Whether the response has begun and only the end of the connection delimits it. */
+	get isUnframed(): boolean {
+		return this.#isUnframed;
 	}
 
 	/** Sends a complete response, after which the connection may be kept unless it is to be closed. */
@@ -89,19 +90,21 @@
 	/** Sends a response that, like the endpoint's, is delimited only by the end of the connection, since its length is unknown. */
 	sendUnframed(status: number, headers: readonly string[], body: Uint8Array): void {
 		this.#res.useChunkedEncodingByDefault = false;
+		this.#isUnframed = true;
 		this.#writeHead(status, headers, 'closed');
 		this.#res.end(body);
 	}
 
 	/** Sends the head of a stream; without a length if only the end of the connection delimits it. */
 	startStream(status: number, headers: readonly string[], framing: 'chunked' | 'unframed'): void {
-		this.#isStream = true;
 		if (framing === 'unframed') {
 			this.#res.useChunkedEncodingByDefault = false;
 		}
 
 		this.#writeHead(status, headers, framing === 'unframed' ? 'closed' : 'kept');
 		this.#res.flushHeaders();
+		// Callers of HTTP/1.0 know no chunks.
+		this.#isUnframed = !this.#res.chunkedEncoding;
 	}
 
 	/** Sends bytes of a stream. Returns false if the caller reads too slowly; `drained` settles when the buffer is empty. */
@@ -126,17 +129,27 @@
 		this.#res.end();
 	}
 
-	/** Closes the connection, so that an incomplete stream does not look complete. */
+	/** Closes the connection, so that an incomplete response does not look complete. */
 	destroy(): void {
 		this.#isDestroyed = true;
 		this.#options.onCut();
-		if (this.isUnframedStream) {
+		if (this.#isUnframed) {
 			this.#socket.resetAndDestroy();
 		}
 
 		this.#res.destroy();
 	}
 
+	/** Resets the connection if the response is incomplete and would look complete at the end of this process. Returns whether it does. */
+	resetUnframed(): boolean {
+		const isCut = this.#isUnframed && !this.#res.writableFinished;
+		if (isCut) {
+			this.#socket.resetAndDestroy();
+		}
+
+		return isCut;
+	}
+
 	#writeHead(status: number, headers: readonly string[], connection: 'kept' | 'closed'): void {
 		const closing = this.#options.closesAfter(connection === 'closed') ? ['Connection', 'close'] : [];
 		this.#res.writeHead(status, [...headers, ...closing] as unknown as Record<string, string>);
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -57,6 +57,7 @@
 		| ({readonly state: 'being handled' | 'being written'} & RequestSummary);
 
 type OpenResponse = {
+	readonly callerResponse: CallerResponse;
 	/** Undefined while the request cannot be told by its id. */
 	requestId: string | undefined;
 	/** Undefined while the request is read. */
@@ -94,13 +95,6 @@
 				return;
 			}
 
-			this.#openResponses.set(res, {requestId: undefined, handler: undefined});
-			res.once('close', () => {
-				this.#openResponses.delete(res);
-			});
-			res.once('prefinish', () => {
-				this.#cutUnread();
-			});
 			const callerResponse = CallerResponse.create(res, {
 				closesAfter: isRequired => connection.closesAfter(res, isRequired ? 'must-close' : (this.#isDraining ? 'close' : 'keep')),
 				closeReason: () => connection.closeReason,
@@ -108,6 +102,13 @@
 					connection.noteClose('earlier response was cut off');
 				},
 			});
+			this.#openResponses.set(res, {callerResponse, requestId: undefined, handler: undefined});
+			res.once('close', () => {
+				this.#openResponses.delete(res);
+			});
+			res.once('prefinish', () => {
+				this.#cutUnread();
+			});
 			if (req.httpVersion === '1.1' && req.headers.host === undefined) {
 				options.context.events.record({kind: 'skipped-input', where: 'caller', detail: 'no host'});
 				callerResponse.sendComplete(BAD_REQUEST_STATUS, [], Buffer.alloc(0), 'closed');
@@ -183,6 +184,17 @@
 		this.#isDraining = true;
 	}
 
+	/** Prepares the responses that have begun and are not complete for an end of the process at any moment: they are logged, or reset if they would look complete. */
+	prepareForEnd(): void {
+		for (const [res, {callerResponse, handler}] of this.#openResponses) {
+			if (callerResponse.resetUnframed()) {
+				handler?.recordCutByEnd();
+			} else if (callerResponse.isStarted && !res.writableEnded) {
+				handler?.recordStillOpen();
+			}
+		}
+	}
+
 	/** Stops accepting connections and closes idle ones; requests in progress continue. */
 	stopListening(): void {
 		// The HTTP server's own method would also close connections whose response is not written out yet.
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -27,7 +27,7 @@
 } from '#dispatch';
 import {fingerprintOfCall, type CrashCause} from '#quarantine';
 import {
-	AttemptRace, type Arrival, type RaceEvent, type RacingAttempt,
+	AttemptRace, type Arrival, type RaceEvent, type RaceStop, type RacingAttempt,
 } from '#requests';
 
 /** State and services shared by all requests. */
@@ -205,6 +205,18 @@
 		return this.#summary();
 	}
 
+	/** Records, as this entry stops, that its response is not complete and goes on until the process ends. */
+	recordStillOpen(): void {
+		this.#context.events.record({
+			kind: 'still-open', facts: this.#summary(), endpoint: this.#lastEndpoint, lastEventId: this.#progress.lastEventId, ages: this.#cutAges(),
+		});
+	}
+
+	/** Records that its response is cut, since the process ends. */
+	recordCutByEnd(): void {
+		this.#recordCut(this.#lastEndpoint, 'stopping');
+	}
+
 	/** Records that its response is cut, since the caller has not read it. */
 	cutUnread(): void {
 		this.#recordCut(this.#lastEndpoint, 'not-read');
@@ -238,6 +250,7 @@
 	async #attemptUntilDone(route: Route): Promise<FinalResult> {
 		const race: Race = AttemptRace.create({
 			callerDisconnected: this.#callerResponse.disconnected,
+			answersDue: this.#context.shutdown.answersDue,
 			requestsEnded: this.#context.shutdown.requestsEnded,
 			timeoutMs: this.#callTimeMs(route),
 			onLateError: this.#context.events.errorListener('request'),
@@ -302,7 +315,7 @@
 			}
 
 			case 'stopped': {
-				return event.stop === 'caller-left' ? {kind: 'done'} : this.#failTimedOut(event.stop);
+				return this.#handleStop(event.stop);
 			}
 
 			case 'threw': {
@@ -320,6 +333,22 @@
 		}
 	}
 
+	#handleStop(stop: RaceStop): FinalResult {
+		switch (stop) {
+			case 'caller-left': {
+				return {kind: 'done'};
+			}
+
+			case 'deadline': {
+				return this.#failTimedOut();
+			}
+
+			case 'stopping': {
+				return this.#callerResponse.isStarted ? this.#endUnframed() ?? this.#cutOffResponse(undefined, 'stopping') : this.#failTimedOut();
+			}
+		}
+	}
+
 	#handleEnd(route: Route, race: Race, end: AttemptEnd): FinalResult | undefined {
 		switch (end.kind) {
 			case 'done': {
@@ -333,7 +362,7 @@
 			case 'not-begun': {
 				this.#releaseRetry();
 				if (!race.isAnyOpen) {
-					return this.#end(end.reason, end.detail);
+					return this.#isEndedByDeadline(route) ? undefined : this.#end(end.reason, end.detail);
 				}
 
 				this.#askAgain(route, race);
@@ -343,7 +372,7 @@
 			case 'no-retry': {
 				this.#releaseRetry();
 				if (!race.isAnyOpen) {
-					return this.#end(this.#failureReason ?? 'timeout');
+					return this.#isEndedByDeadline(route) ? undefined : this.#end(this.#failureReason ?? 'timeout');
 				}
 
 				this.#askAgain(route, race);
@@ -381,7 +410,7 @@
 		return isLast ? (failure.respond?.() ?? this.#end(this.#failureReason)) : undefined;
 	}
 
-	/** Whether a stream that has begun ended at the time that was handed on, which is sooner than its caller's. */
+	/** Whether a stream that has begun ended at the time that was handed on; its caller's is over later, and the race stops then. */
 	#isEndedByDeadline(route: Route): boolean {
 		return this.#callerResponse.isStarted && callTimeOf(route, this.#req) - this.#elapsedMs() < MIN_ATTEMPT_MS && this.#unframedEnd === undefined;
 	}
@@ -910,7 +939,7 @@
 
 	/** Ends a response as its endpoint did that sent no length, unless more was sent to the caller since. */
 	#endUnframed(): FinalResult | undefined {
-		if (this.#unframedEnd === undefined || !this.#callerResponse.isUnframedStream || this.#unframedEnd.lastEventId !== this.#progress.lastEventId) {
+		if (this.#unframedEnd === undefined || !this.#callerResponse.isUnframed || this.#unframedEnd.lastEventId !== this.#progress.lastEventId) {
 			return undefined;
 		}
 
@@ -919,11 +948,7 @@
 		return {kind: 'done'};
 	}
 
-	#failTimedOut(stop: 'deadline' | 'stopping'): FinalResult {
-		if (stop === 'stopping' && this.#callerResponse.isStarted) {
-			return this.#endUnframed() ?? this.#cutOffResponse(undefined, 'stopping');
-		}
-
+	#failTimedOut(): FinalResult {
 		return this.#attempts === 0 ? this.#end('timeout-before-sent') : this.#end('timeout', `silent at ${this.#lastEndpoint}`);
 	}
 
@@ -1030,12 +1055,12 @@
 
 	/** Time until the request has to end, in ms: that of the call, or until this entry stops. */
 	#remainingMs(route: Route): number {
-		return Math.min(this.#callTimeMs(route), this.#context.shutdown.remainingMs());
+		return Math.min(this.#callTimeMs(route), this.#context.shutdown.remainingMs(this.#callerResponse.isStarted ? 'begun' : 'not-begun'));
 	}
 
 	/** Time that is left for an endpoint, in ms, at least. */
 	#forwardedMs(route: Route): number {
-		return Math.min(callTimeOf(route, this.#req) - this.#elapsedMs(), this.#context.shutdown.remainingMs());
+		return Math.min(callTimeOf(route, this.#req) - this.#elapsedMs(), this.#context.shutdown.remainingMs(route.kind.kind === 'stream' ? 'begun' : 'not-begun'));
 	}
 
 	/** Time until the caller's deadline or the route's timeout, whichever is sooner, in ms. */
