Own stack: a stopping entry answers what it has taken, and writes it out

Cause: an entry that drains set 'connection: close' on every response as its handler began, so a request that followed in a pipeline was run and never answered. And a drained entry closed as soon as its handlers had ended: a response that was complete but not yet written counted as an idle connection, and the process ended with it.

Callers saw no answer to the second of two requests, and 3,967,259 of 15,007,143 bytes of a response that was read slowly.

CallerConnection, the platform's mechanism (requests in order, lingering close), moves from gateway to connections and is used by both stacks. The entry's CallerServer keeps the responses that are not written out; a drain stops listening when the requests have ended, and ends when all responses are written out and the callers have closed or 2 s have passed. Bytes that are no request end a connection after the responses in progress, not before; a request without a host no longer closes the connection before responses that are open. The grace period is unlimited here: a caller that never reads keeps the process until it leaves.

New lines: 'request not taken', 'input skipped', 'bytes not sent'.

--- a/packages/entry/src/caller-response.ts
+++ b/packages/entry/src/caller-response.ts
@@ -17,25 +17,31 @@
 /** A complete buffered response. Its outcome is stored for callers that send the same idempotency key again. */
 export type BufferedResponse = ResponseHead & {readonly body: Uint8Array};
 
+export type CallerResponseOptions = {
+	/** Called with the offset up to which bytes were written to the caller or buffered. */
+	readonly onDelivered: (offset: number) => void;
+	/** Whether the connection closes after this response; called when its head is about to be sent. */
+	readonly closesAfter: () => boolean;
+};
+
 export class CallerResponse {
-	/** @param onDelivered - Called with the offset up to which bytes were written to the caller or buffered. */
-	static create(res: ServerResponse, requestId: string, onDelivered: (offset: number) => void): CallerResponse {
-		return new CallerResponse(res, requestId, onDelivered);
+	static create(res: ServerResponse, requestId: string, options: CallerResponseOptions): CallerResponse {
+		return new CallerResponse(res, requestId, options);
 	}
 
 	readonly #res: ServerResponse;
 	readonly #requestId: string;
-	readonly #onDelivered: (offset: number) => void;
+	readonly #options: CallerResponseOptions;
 	#checksum = Checksum.create();
 	#head: ResponseHead | undefined;
 	#chunks: Uint8Array[] = [];
 	#streaming = false;
 	#progressAt = 0;
 
-	private constructor(res: ServerResponse, requestId: string, onDelivered: (offset: number) => void) {
+	private constructor(res: ServerResponse, requestId: string, options: CallerResponseOptions) {
 		this.#res = res;
 		this.#requestId = requestId;
-		this.#onDelivered = onDelivered;
+		this.#options = options;
 	}
 
 	/** Bytes already written to the caller, which must not be sent again; 0 unless streaming. */
@@ -70,7 +76,7 @@
 
 	/** Creates a response that is buffered but not sent to the caller, for requests that this process makes itself. */
 	createDetached(): CallerResponse {
-		return new CallerResponse(this.#res, this.#requestId, () => undefined);
+		return new CallerResponse(this.#res, this.#requestId, {...this.#options, onDelivered: () => undefined});
 	}
 
 	/** Handles the response head of an attempt. The head of a later attempt does not change a stream that has started. */
@@ -85,7 +91,7 @@
 		this.#checksum = Checksum.create();
 		if ((head.headers['content-type'] ?? '').startsWith(EVENT_STREAM_TYPE)) {
 			this.#streaming = true;
-			this.#res.writeHead(head.status, {...head.headers, 'x-request-id': this.#requestId});
+			this.#writeHead(head.status, head.headers);
 		}
 	}
 
@@ -95,14 +101,14 @@
 		this.#checksum.add(data);
 		if (!this.#streaming) {
 			this.#chunks.push(data);
-			this.#onDelivered(this.#checksum.bytes);
+			this.#options.onDelivered(this.#checksum.bytes);
 			return;
 		}
 
 		const offset = this.#checksum.bytes;
 		this.#res.write(data, error => {
 			if (!error) {
-				this.#onDelivered(offset);
+				this.#options.onDelivered(offset);
 			}
 		});
 	}
@@ -127,9 +133,7 @@
 
 	/** Sends a buffered response. */
 	send(response: BufferedResponse, extra: Readonly<Record<string, string>> = {}): void {
-		this.#res.writeHead(response.status, {
-			...response.headers, ...extra, 'x-request-id': this.#requestId, 'content-length': String(response.body.length),
-		});
+		this.#writeHead(response.status, {...response.headers, ...extra, 'content-length': String(response.body.length)});
 		this.#res.end(response.body);
 	}
 
@@ -144,7 +148,11 @@
 			return;
 		}
 
-		this.#res.writeHead(status, {...headers, 'x-request-id': this.#requestId, 'content-length': String(Buffer.byteLength(body))});
+		this.#writeHead(status, {...headers, 'content-length': String(Buffer.byteLength(body))});
 		this.#res.end(body);
 	}
+
+	#writeHead(status: number, headers: Readonly<Record<string, string>>): void {
+		this.#res.writeHead(status, {...headers, 'x-request-id': this.#requestId, ...(this.#options.closesAfter() ? {connection: 'close'} : {})});
+	}
 }
--- /dev/null
+++ b/packages/entry/src/caller-server.ts
@@ -0,0 +1,133 @@
+/** The HTTP server for callers: which responses are open, and when their connections close. */
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {Server as NetServer, type Socket} from 'node:net';
+import {CallerConnection} from '#connections';
+import {type Logger} from '#telemetry';
+
+const MAX_HEADER_BYTES = 32 * 1024;
+
+/** Idle time after which a connection is closed, in ms. */
+const IDLE_TIMEOUT_MS = 72_000;
+
+export type RequestListener = (req: IncomingMessage, res: ServerResponse) => void;
+
+export class CallerServer {
+	static create(log: Logger): CallerServer {
+		return new CallerServer(log);
+	}
+
+	readonly #log: Logger;
+	readonly #open = new Set<ServerResponse>();
+	/** Connections that have sent a request. */
+	readonly #connections = new Map<Socket, CallerConnection>();
+	#server: Server | undefined;
+	#isDraining = false;
+
+	private constructor(log: Logger) {
+		this.#log = log;
+	}
+
+	/** Number of responses that are not written out yet. */
+	get openResponses(): number {
+		return this.#open.size;
+	}
+
+	/** Number of connections whose last response may not have arrived yet. */
+	get lingeringConnections(): number {
+		return [...this.#connections.values()].filter(({isLingering}) => isLingering).length;
+	}
+
+	/** Creates the server, which passes on each request that can be answered. */
+	listenWith(onRequest: RequestListener): Server {
+		// Node's own refusal of a request without a host would close the connection before the responses to later requests.
+		const server = createServer({maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: IDLE_TIMEOUT_MS, requireHostHeader: false}, (req, res) => {
+			if (!this.#connectionOf(req.socket).take(res)) {
+				this.#log.info('request not taken', {reason: 'connection closes', method: req.method});
+				// Reading on shows when the caller leaves.
+				req.resume();
+				return;
+			}
+
+			this.#open.add(res);
+			res.once('close', () => {
+				this.#open.delete(res);
+			});
+			onRequest(req, res);
+		});
+		// A request may wait for its response, or send its body, for as long as its deadline permits.
+		server.requestTimeout = 0;
+		this.#server = server;
+		return server;
+	}
+
+	/** Ends a connection after bytes that are no request. Responses in progress end first; other bytes would be taken as part of them. */
+	refuseInput(err: Error, socket: Socket): void {
+		const connection = this.#connectionOf(socket);
+		if (connection.isLingering) {
+			return;
+		}
+
+		const detail = (err as NodeJS.ErrnoException).code ?? err.message;
+		this.#log.info('input skipped', {detail, openResponses: this.#open.size});
+		if (!socket.writable) {
+			connection.noteClose(`invalid input ${detail}`);
+			socket.destroy();
+			return;
+		}
+
+		if (!connection.closeAfterOpen()) {
+			connection.noteClose(`invalid input ${detail}`);
+			connection.endWith('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
+		}
+	}
+
+	/** Decides whether the connection closes after a response whose head is about to be sent. */
+	closesAfter(res: ServerResponse): boolean {
+		return this.#connectionOf(res.req.socket).closesAfter(res, this.#isDraining ? 'close' : 'keep');
+	}
+
+	/** Why this entry closed the connection of a response; undefined if it did not. */
+	closeReasonOf(res: ServerResponse): string | undefined {
+		return this.#connections.get(res.req.socket)?.closeReason;
+	}
+
+	/** Closes each connection after its next response; new connections are still accepted. */
+	startDraining(): void {
+		this.#isDraining = true;
+	}
+
+	/** Stops accepting connections; those that are open continue. */
+	stopListening(): void {
+		if (this.#server !== undefined) {
+			// The HTTP server's own method would also close connections whose response is not written out yet.
+			NetServer.prototype.close.call(this.#server);
+		}
+	}
+
+	/** Closes idle connections, unless a response may not have arrived yet: Node takes its connection as idle. */
+	closeIdleConnections(): void {
+		if (this.lingeringConnections === 0 && [...this.#open].every(({writableEnded}) => !writableEnded)) {
+			this.#server?.closeIdleConnections();
+		}
+	}
+
+	#connectionOf(socket: Socket): CallerConnection {
+		const known = this.#connections.get(socket);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const connection = CallerConnection.create(socket, {
+			onUnsent: bytes => {
+				this.#log.warn('bytes not sent', {bytes});
+			},
+		});
+		this.#connections.set(socket, connection);
+		socket.once('close', () => {
+			this.#connections.delete(socket);
+		});
+		return connection;
+	}
+}
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -7,6 +7,7 @@
 import fastify, {type FastifyInstance, type FastifyReply, type FastifyRequest} from 'fastify';
 import {AdminRoutes} from './admin-routes.js';
 import {CallerResponse} from './caller-response.js';
+import {CallerServer} from './caller-server.js';
 import {AttemptTable} from './attempt-table.js';
 import {ClaimService} from './claim-service.js';
 import {
@@ -34,8 +35,6 @@
 	BacklogProbe, processClock, ReadDelay, type Arrival,
 } from '#requests';
 
-const MAX_HEADER_BYTES = 32 * 1024;
-
 /** Window in which retries are limited to a fraction of the requests. */
 const RETRY_WINDOW_MS = 10_000;
 
@@ -93,6 +92,7 @@
 
 	readonly #options: EntryOptions;
 	readonly #log: Logger;
+	readonly #server: CallerServer;
 	readonly #http: FastifyInstance;
 	readonly #context: RequestContext;
 	readonly #claims: ClaimService;
@@ -136,8 +136,15 @@
 		this.#claims = ClaimService.create({
 			peering, store: options.store, log: options.log, signal,
 		});
+		this.#server = CallerServer.create(this.#log);
 		this.#http = fastify({
-			logger: false, bodyLimit: settings.maxBodyBytes, http: {maxHeaderSize: MAX_HEADER_BYTES}, forceCloseConnections: false,
+			logger: false,
+			bodyLimit: settings.maxBodyBytes,
+			forceCloseConnections: false,
+			serverFactory: onRequest => this.#server.listenWith(onRequest),
+			clientErrorHandler: (err, socket) => {
+				this.#server.refuseInput(err, socket);
+			},
 		});
 		this.#readDelay.start(signal, delayMs => {
 			metrics.recordLatency('loopDelay', delayMs);
@@ -145,9 +152,17 @@
 		this.#http.server.on('connection', connection => {
 			this.#backlogProbe?.recordAccept(connection);
 		});
-		this.#http.addHook('onRequest', async ({raw}) => {
+		this.#http.addHook('onRequest', async ({raw, headers, id}, res) => {
 			// The body may follow later.
 			this.#arrivals.set(raw, this.#readDelay.arrivalOn(raw.socket));
+			if (raw.httpVersion === '1.1' && headers.host === undefined) {
+				this.#refuse(res, id, createRefusal('bad-request', 'not-run', 'the request names no host'));
+			}
+		});
+		this.#http.addHook('onSend', async (_req, res) => {
+			if (this.#server.closesAfter(res.raw)) {
+				void res.header('connection', 'close');
+			}
 		});
 		this.#registerRoutes();
 	}
@@ -162,9 +177,13 @@
 		return this.#inProgress;
 	}
 
-	/** Announces that this entry is leaving, closes connections after their next request, and waits for requests in progress and pending claim outcomes. */
+	/**
+	 * Announces that this entry is leaving, closes connections after their next response, and waits for requests in progress and pending
+	 * claim outcomes. Then it stops listening, and waits until all responses are written out.
+	 */
 	async drain(): Promise<void> {
 		this.#draining = true;
+		this.#server.startDraining();
 		this.#options.peering.setLeaving(true);
 		this.#log.info('draining', {running: this.#inProgress});
 		const recordDeadline = Date.now() + RECORD_TIMEOUT_MS;
@@ -172,6 +191,12 @@
 			await Promise.race([once(this.#idle, 'idle'), sleep(DRAIN_CHECK_MS)]);
 		}
 
+		this.#server.stopListening();
+		while (this.#inProgress > 0 || this.#server.openResponses > 0 || this.#server.lingeringConnections > 0) {
+			this.#server.closeIdleConnections();
+			await sleep(DRAIN_CHECK_MS);
+		}
+
 		this.#log.info('drained');
 	}
 
@@ -220,7 +245,14 @@
 	#refuse(res: FastifyReply, requestId: string, refusal: Refusal): void {
 		this.#options.metrics.count('refusals', refusal.reason);
 		void res.hijack();
-		CallerResponse.create(res.raw, requestId, () => undefined).refuse(refusal);
+		this.#createResponse(res, requestId, () => undefined).refuse(refusal);
+	}
+
+	#createResponse(res: FastifyReply, requestId: string, onDelivered: (offset: number) => void): CallerResponse {
+		return CallerResponse.create(res.raw, requestId, {
+			onDelivered,
+			closesAfter: () => this.#server.closesAfter(res.raw),
+		});
 	}
 
 	/** Authenticates the caller, runs the request and records its result. */
@@ -230,10 +262,6 @@
 		const startedAt = arrival.earliest.monotonicMs;
 		this.#options.metrics.recordLatency('readDelay', arrival.readDelayMs);
 		const {ruleSet} = this.#options.peering.kernel.snapshot;
-		if (this.#draining) {
-			res.raw.setHeader('connection', 'close');
-		}
-
 		if (this.#options.peering.readiness.kind === 'waiting') {
 			this.#refuse(res, requestId, createRefusal('not-ready', 'not-run', 'the entry does not know the rules yet', 1));
 			return;
@@ -295,7 +323,7 @@
 		this.#options.metrics.count('requests', 'model');
 		const body = req.body as Uint8Array | undefined;
 		const reject = (refusal: Refusal): RequestResult => {
-			CallerResponse.create(res.raw, requestId, () => undefined).refuse(refusal);
+			this.#createResponse(res, requestId, () => undefined).refuse(refusal);
 			return refusal;
 		};
 
@@ -320,7 +348,7 @@
 			return reject(createRefusal('over-limit', 'not-run', `workspace ${workspace.name} is over its limit`, spent.retryAfterMs / 1000));
 		}
 
-		const response = CallerResponse.create(res.raw, requestId, offset => {
+		const response = this.#createResponse(res, requestId, offset => {
 			request.acknowledgeDelivery(offset);
 		});
 		const request = ModelRequest.create(this.#context, {
@@ -343,7 +371,7 @@
 		this.#options.metrics.count('requests', 'service');
 		const rule = serviceRule(this.#options.peering.kernel.snapshot.ruleSet, name);
 		const path = req.url.slice(`/services/${name}`.length);
-		const response = CallerResponse.create(res.raw, requestId, offset => {
+		const response = this.#createResponse(res, requestId, offset => {
 			request.acknowledgeDelivery(offset);
 		});
 		if (rule === undefined) {
--- a/packages/gateway/__tests__/unit/connection-end-log.test.ts
+++ b/packages/gateway/__tests__/unit/connection-end-log.test.ts
@@ -7,7 +7,7 @@
 import {
 	chunk, createRecordingLogger, FakeEndpoint, FakeRegistry, startGateway, streamHead, testConfig, testRoute, type Script,
 } from '../gateway-harness.js';
-import {CallerConnection} from '../../src/caller-connection.js';
+import {CallerConnection} from '#connections';
 import {waitUntil} from '#harness';
 
 const TIMEOUT_MS = 600;
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -7,12 +7,12 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
-import {CallerConnection} from './caller-connection.js';
 import {CallerResponse} from './caller-response.js';
 import type {Dialect} from './dialect.js';
 import type {RequestSummary} from './event-log.js';
 import {RequestHandler, type RequestHandlerContext} from './request-handler.js';
 import {refusalOf} from './refusals.js';
+import {CallerConnection} from '#connections';
 import {listenWhenFree} from '#core';
 import {BacklogProbe, type ReadDelay} from '#requests';
 
