Own stack: a begun stream waits for its permit also after its first byte was due

Cause: after a crash of its engine a request is suspect, and needs a permit to run again. The wait for it ended at the deadline for the first byte, also for a stream that had begun: a stream older than its deadline got no permit at all.

Callers saw 'stream-lost' in the middle of a stream, although another replica could continue it.

--- a/packages/entry/src/model-request.ts
+++ b/packages/entry/src/model-request.ts
@@ -259,9 +259,9 @@
 
 	/** The permit request for the next attempt. */
 	#permitRequest(signal: AbortSignal): PermitRequest {
-		const {inference, requestId, deadline} = this.#options;
+		const {inference, requestId, deadline, response} = this.#options;
 		return {
-			fingerprint: inference.fingerprint, permitId: `${requestId}/${this.#attemptCount + 1}`, deadline: deadline.sendBy, signal,
+			fingerprint: inference.fingerprint, permitId: `${requestId}/${this.#attemptCount + 1}`, deadline: response.streaming ? Infinity : deadline.sendBy, signal,
 		};
 	}
 
--- a/packages/entry/src/run-permit.ts
+++ b/packages/entry/src/run-permit.ts
@@ -14,7 +14,7 @@
 	readonly fingerprint: string;
 	/** Unique per attempt. */
 	readonly permitId: string;
-	/** Deadline for the first byte, ms since the epoch. */
+	/** When the attempt is not wanted any more, ms since the epoch. */
 	readonly deadline: number;
 	/** Aborted when the caller disconnects. */
 	readonly signal: AbortSignal;
