Play the record's size in the soak, each kind in processes of its own

The soak's one process for store, replicas and callers stalls past some 20 processes, which hid what a machine full of processes does.

--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -3,10 +3,10 @@
 import {
 	Agent, request, type ClientRequest, type IncomingMessage,
 } from 'node:http';
-import {connect} from 'node:net';
-import {isServed, type InvariantChecker} from './invariant-checker.js';
+import {connect, type Socket} from 'node:net';
+import {isServed} from './invariant-checker.js';
 import type {
-	Attempt, AttemptOutcome, CallerKey, CallStyle, EntryTarget, RequestKind, SoakDeployment,
+	Attempt, AttemptOutcome, CallConnection, CallerKey, CallObserver, CallSite, CallStyle, CallTarget, Load, LoadProfile, RequestKind,
 } from './types.js';
 import {sleep} from '#core';
 import type {Random} from '#standins-engine';
@@ -14,20 +14,21 @@
 /** Time after its deadline at which an attempt without an outcome counts as hung, in ms. */
 const HANG_TIMEOUT_MS = 1500;
 
-/** Requests that are chosen at random, with their deadlines in ms. */
-const REQUEST_MIX: ReadonlyArray<{readonly kind: RequestKind; readonly waitMs: number}> = [
-	{kind: 'idempotent', waitMs: 1500},
-	{kind: 'at-most-once', waitMs: 1500},
-	{kind: 'at-most-once', waitMs: 800},
-	{kind: 'stream', waitMs: 4000},
-];
+const DEFAULT_PROFILE: LoadProfile = {
+	requests: [
+		{kind: 'idempotent', waitMs: 1500},
+		{kind: 'at-most-once', waitMs: 1500},
+		{kind: 'at-most-once', waitMs: 800},
+		{kind: 'stream', waitMs: 4000},
+	],
+	maxEvents: 40,
+	connections: ['kept'],
+	maxAheadMs: 0,
+};
 
 /** Fraction of requests that use any key, including revoked ones. */
 const ANY_KEY_SHARE = 0.1;
 
-/** Maximum number of events in a stream. */
-const MAX_EVENTS = 40;
-
 /** Interval at which a closed port is tried, in ms. */
 const KNOCK_INTERVAL_MS = 5;
 
@@ -41,34 +42,39 @@
 const SLOW_READER_RATE = 1000;
 
 export type CallersOptions = {
-	readonly deployment: SoakDeployment;
-	readonly checker: InvariantChecker;
+	readonly site: CallSite;
+	readonly observer: CallObserver;
 	readonly random: Random;
+	readonly profile?: LoadProfile;
+	/** Prefix of the ids of requests. */
+	readonly idPrefix?: string;
 	/** Interval between requests over all callers, in ms. */
 	readonly intervalMs: number;
 };
 
-export class Callers {
+export class Callers implements Load {
 	static create(options: CallersOptions): Callers {
 		return new Callers(options);
 	}
 
 	readonly #agents = new Map<string, Agent>();
 	readonly #pending = new Set<Promise<boolean>>();
+	readonly #profile: LoadProfile;
 	#count = 0;
 	readonly #options: CallersOptions;
 
 	private constructor(options: CallersOptions) {
 		this.#options = options;
+		this.#profile = options.profile ?? DEFAULT_PROFILE;
 	}
 
 	/** Sends requests until the signal aborts; resolves once the last has ended. */
 	async run(signal: AbortSignal): Promise<void> {
 		// The load and the knocking at each entry listen.
 		setMaxListeners(0, signal);
-		const knocking = this.#options.deployment.entries().map(async entry => this.#knock(entry, signal));
+		const knocking = this.#options.site.entries().map(async entry => this.#knock(entry, signal));
 		while (!signal.aborted) {
-			const entries = this.#options.deployment.entries();
+			const entries = this.#options.site.entries();
 			this.#track(this.#sendAttempt(entries[this.#options.random.int(0, entries.length - 1)]!, this.#pickKey()));
 			await sleep(this.#options.intervalMs, signal);
 		}
@@ -80,7 +86,7 @@
 	async probe(rounds: number): Promise<number> {
 		let failed = 0;
 		for (let round = 0; round < rounds; round += 1) {
-			const served = await Promise.all(this.#options.deployment.entries().map(async entry => this.#sendAttempt(entry, this.#pickValidKey(), {style: 'plain'})));
+			const served = await Promise.all(this.#options.site.entries().map(async entry => this.#sendAttempt(entry, this.#pickValidKey(), {kind: this.#profile.probeKind, style: 'plain'})));
 			failed += served.filter(wasServed => !wasServed).length;
 		}
 
@@ -99,7 +105,7 @@
 	}
 
 	/** Sends requests as soon as the port of an entry opens, each time. */
-	async #knock(entry: EntryTarget, signal: AbortSignal): Promise<void> {
+	async #knock(entry: CallTarget, signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
 			const socket = connect({host: entry.host, port: entry.port});
 			socket.once('connect', () => {
@@ -121,47 +127,77 @@
 		}
 	}
 
-	async #sendAttempt(entry: EntryTarget, key: CallerKey, only: {readonly kind?: RequestKind; readonly style?: CallStyle} = {}): Promise<boolean> {
-		const {checker, random, deployment} = this.#options;
+	async #sendAttempt(entry: CallTarget, key: CallerKey, only: {readonly kind?: RequestKind | undefined; readonly style?: CallStyle} = {}): Promise<boolean> {
+		const {observer, random, site, idPrefix = 'r'} = this.#options;
+		const {requests, maxEvents, eventIntervalMs} = this.#profile;
 		this.#count += 1;
-		const mix = REQUEST_MIX.filter(({kind}) => only.kind === undefined || kind === only.kind);
+		const mix = requests.filter(({kind}) => only.kind === undefined || kind === only.kind);
 		const {kind, waitMs} = mix[random.int(0, mix.length - 1)]!;
-		const style = only.style ?? deployment.callStyles[random.int(0, deployment.callStyles.length - 1)]!;
-		const attempt: Attempt = {
-			id: `r${this.#count}`, kind, entry: entry.name, key, style, waitMs, events: random.int(1, MAX_EVENTS), sentAt: performance.now(),
+		const style = only.style ?? site.callStyles[random.int(0, site.callStyles.length - 1)]!;
+		const unsent = {
+			id: `${idPrefix}${this.#count}`, kind, entry: entry.name, key, style, waitMs, events: random.int(1, maxEvents), eventIntervalMs,
 		};
-		checker.sent(attempt);
-		const outcome = await this.#sendRequest(entry, attempt);
-		// A process that is paused or killed can't answer in time; the injected fault causes that.
-		const isFaultCaused = outcome.kind === 'hung' && entry.disturbedAt() >= attempt.sentAt;
-		checker.ended(attempt.id, isFaultCaused ? {kind: 'closed', reason: 'entry disturbed'} : outcome, entry.judgeLoss(attempt, performance.now()));
+		const socket = await this.#openAhead(entry, this.#pickConnection());
+		if (socket?.destroyed === true) {
+			// It was refused or closed before the request.
+			return false;
+		}
+
+		const attempt: Attempt = {...unsent, sentAt: performance.now()};
+		observer.sent(attempt);
+		const outcome = await this.#sendRequest(entry, attempt, socket);
+		observer.ended(attempt, outcome, performance.now());
 		return isServed(outcome);
 	}
 
+	#pickConnection(): CallConnection {
+		const {connections} = this.#profile;
+		return connections.length === 1 ? connections[0]! : connections[this.#options.random.int(0, connections.length - 1)]!;
+	}
+
+	/** Opens a connection that the request doesn't share; undefined for a kept one. */
+	async #openAhead({host, port}: CallTarget, connection: CallConnection): Promise<Socket | undefined> {
+		switch (connection) {
+			case 'kept': {
+				return undefined;
+			}
+
+			case 'new': {
+				return connect({host, port}).on('error', () => undefined);
+			}
+
+			case 'opened-ahead': {
+				const socket = connect({host, port}).on('error', () => undefined);
+				await sleep(this.#options.random.int(0, this.#profile.maxAheadMs));
+				return socket;
+			}
+		}
+	}
+
 	#pickValidKey(): CallerKey {
-		const valid = this.#options.deployment.keys().filter(({revokedAt}) => revokedAt === undefined);
+		const valid = this.#options.site.keys().filter(({revokedAt}) => revokedAt === undefined);
 		return valid[this.#options.random.int(0, valid.length - 1)]!;
 	}
 
 	/** Picks a key that is valid, or with a small probability any key. */
 	#pickKey(): CallerKey {
-		const keys = this.#options.deployment.keys();
+		const keys = this.#options.site.keys();
 		return this.#options.random.next() < ANY_KEY_SHARE ? keys[this.#options.random.int(0, keys.length - 1)]! : this.#pickValidKey();
 	}
 
-	async #sendRequest(entry: EntryTarget, attempt: Attempt): Promise<AttemptOutcome> {
-		const {deployment} = this.#options;
+	async #sendRequest(entry: CallTarget, attempt: Attempt, socket: Socket | undefined): Promise<AttemptOutcome> {
+		const {site} = this.#options;
 		const {style} = attempt;
-		const {method, path, headers, body} = deployment.encode(attempt);
+		const {method, path, headers, body} = site.encode(attempt);
 		return new Promise(resolve => {
 			const req = request({
-				host: entry.host, port: entry.port, method, path, headers, agent: style === 'half-close' ? false : this.#getAgent(entry),
+				host: entry.host, port: entry.port, method, path, headers, agent: style === 'half-close' ? false : this.#getAgent(entry), ...(socket === undefined ? {} : {agent: undefined, createConnection: () => socket}),
 			}, res => {
 				if (style === 'slow-reader') {
 					readSlowly(res);
 				}
 
-				void readOutcome(res, attempt, deployment.isSigned(res.headers)).then(finish);
+				void readOutcome(res, attempt, site.isSigned(res.headers)).then(finish);
 			});
 			const finish = (outcome: AttemptOutcome) => {
 				clearTimeout(timer);
@@ -179,7 +215,7 @@
 		});
 	}
 
-	#getAgent({name}: EntryTarget): Agent {
+	#getAgent({name}: CallTarget): Agent {
 		let agent = this.#agents.get(name);
 		if (agent === undefined) {
 			agent = new Agent({keepAlive: true});
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -6,7 +6,9 @@
 export {
 	createLife, type Life, type LifeOptions, type LifeSignal, type LifeStep, type Restart, type StopSignal,
 } from './life.js';
-export {runSoak, type SoakOptions, type SoakReport} from './soak.js';
+export {
+	EventLoopDelayMonitor, runSoak, type SoakOptions, type SoakReport,
+} from './soak.js';
 export type {
-	Attempt, AttemptOutcome, BackEndObserver, CallerKey, CallStyle, EntryTarget, FaultKind, LossJudgement, RequestKind, Run, SoakBounds, SoakDeployment,
+	Attempt, AttemptOutcome, BackEndObserver, CallConnection, CallerKey, CallObserver, CallSite, CallStyle, CallTarget, EntryTarget, FaultKind, Load, LoadProfile, LossJudgement, RequestKind, Run, RunEnd, SoakBounds, SoakDeployment,
 } from './types.js';
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -5,7 +5,7 @@
 import {Callers} from './callers.js';
 import {InvariantChecker, type SoakCounts} from './invariant-checker.js';
 import type {
-	BackEndObserver, FaultKind, SoakBounds, SoakDeployment,
+	CallObserver, FaultKind, SoakBounds, SoakDeployment,
 } from './types.js';
 import {sleep} from '#core';
 import {createRandom, type Random} from '#standins-engine';
@@ -16,7 +16,7 @@
 	readonly faultsMs: number;
 	readonly bounds: SoakBounds;
 	/** Starts the processes; their back ends report events to the observer. */
-	readonly deploy: (observer: BackEndObserver, random: Random) => Promise<SoakDeployment>;
+	readonly deploy: (observer: InvariantChecker, random: Random) => Promise<SoakDeployment>;
 	readonly log: (line: string) => void;
 };
 
@@ -53,8 +53,8 @@
 	const delayMonitor = EventLoopDelayMonitor.create(loadEnd.signal);
 	const checker = InvariantChecker.create({bounds, now: () => performance.now()});
 	const deployment = await deploy(checker, random);
-	const callers = Callers.create({
-		deployment, checker, random: createRandom(seed + 1), intervalMs: REQUEST_INTERVAL_MS,
+	const callers = deployment.load ?? Callers.create({
+		site: deployment, observer: observeCalls(deployment, checker), random: createRandom(seed + 1), intervalMs: REQUEST_INTERVAL_MS,
 	});
 	const load = callers.run(loadEnd.signal);
 	const injected = await injectFaults(deployment.faults, random, faultsMs, log);
@@ -79,6 +79,20 @@
 	};
 }
 
+function observeCalls(deployment: SoakDeployment, checker: InvariantChecker): CallObserver {
+	return {
+		sent(attempt) {
+			checker.sent(attempt);
+		},
+		ended(attempt, outcome, endedAt) {
+			const entry = deployment.entries().find(({name}) => name === attempt.entry)!;
+			// A process that is paused or killed can't answer in time; the injected fault causes that.
+			const isFaultCaused = outcome.kind === 'hung' && entry.disturbedAt() >= attempt.sentAt;
+			checker.ended(attempt.id, isFaultCaused ? {kind: 'closed', reason: 'entry disturbed'} : outcome, entry.judgeLoss(attempt, endedAt));
+		},
+	};
+}
+
 /** Injects random faults for `durationMs`; resolves once all of them have ended. Returns their number by name. */
 async function injectFaults(faultKinds: readonly FaultKind[], random: Random, durationMs: number, log: (line: string) => void): Promise<Readonly<Record<string, number>>> {
 	const counts: Record<string, number> = {};
@@ -104,8 +118,8 @@
 	return counts;
 }
 
-/** Measures the event loop delay of this process. */
-class EventLoopDelayMonitor {
+/** Measures the event loop delay of the process. */
+export class EventLoopDelayMonitor {
 	static create(signal: AbortSignal): EventLoopDelayMonitor {
 		const monitor = new EventLoopDelayMonitor();
 		let lastAt = performance.now();
