Let only its connection tell that the caller of a begun stream left

A stream that had begun was ended when its caller should have left by the entry's reckoning (2 s after the last event was written): with no-time where its endpoint broke off after that, although another was open, and with group-stopped where its group took longer to form again. A caller that reads later than the entry writes is still there.

The reckoning now holds only before the answer has begun. A begun stream waits for its group until its time is over; other attempts are allowed as long as its connection is open. The wait of a request without an answer for a stopped group counts from the earliest arrival, as its refusal has to arrive in time.

--- a/packages/gateway/__tests__/unit/begun-stream-bounds.test.ts
+++ b/packages/gateway/__tests__/unit/begun-stream-bounds.test.ts
@@ -29,6 +29,15 @@
 	readonly registeredAtMs?: number; readonly stoppedUntilMs?: number;
 }> = [
 	{name: 'the attempt beside a silent endpoint fails', scripts: [begins(TIMEOUT_MS * 2), fails], isComplete: false},
+	{
+		name: 'a silent endpoint breaks off later than its caller should have left', scripts: [begins(PATIENCE_MS + 700), goesOn], registeredAtMs: PATIENCE_MS + 300, isComplete: true,
+	},
+	{
+		name: 'its group is stopped for longer than its caller should have waited', scripts: [begins(100), goesOn], stoppedUntilMs: PATIENCE_MS + 600, isComplete: true,
+	},
+	{
+		name: 'its group stays stopped', scripts: [begins(100), goesOn], stoppedUntilMs: Infinity, isComplete: false,
+	},
 ];
 
 t.jobs = 4;
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -408,8 +408,8 @@
 		const {groups} = this.#context;
 		await groups.check(this.#service);
 		if (groups.isStopped(this.#service)) {
-			const patienceMs = route.kind.kind === 'stream' ? streamPatienceMs(route) - this.#sinceProgressMs() : Infinity;
-			const isRunning = await groups.waitUntilRunning(this.#service, {timeoutMs: Math.min(this.#remainingMs(route), patienceMs), queueLimit: undefined, signal: attempt.signal});
+			const patienceMs = route.kind.kind === 'stream' && !this.#callerResponse.isStarted ? streamPatienceMs(route) - this.#sinceProgressMs() : Infinity;
+			const isRunning = await groups.waitUntilRunning(this.#service, {timeoutMs: Math.min(this.#untilEndMs(route), patienceMs), queueLimit: undefined, signal: attempt.signal});
 			if (!isRunning) {
 				return {kind: 'no-retry'};
 			}
@@ -473,18 +473,18 @@
 		return this.#handleResult(route, choice.endpoint, attempt, result);
 	}
 
-	/** Waits for a stopped group, but no longer than the caller would. Returns whether it runs. */
+	/** Waits for a stopped group: until the caller has to be told, or to the end of a stream that has begun. Returns whether it runs. */
 	async #awaitRunningGroup(route: Route, {signal}: Attempt): Promise<boolean> {
 		const {groups, load} = this.#context;
 		if (!groups.isStopped(this.#service)) {
 			return true;
 		}
 
-		const {hasBegun} = this.#progress;
+		const {isStarted} = this.#callerResponse;
 		const {slots} = this.#serviceLoad();
 		return groups.waitUntilRunning(this.#service, {
-			timeoutMs: Math.min((hasBegun ? streamPatienceMs(route) : this.#retryTimeoutMs(route)) - this.#sinceProgressMs(), this.#remainingMs(route)),
-			queueLimit: hasBegun ? undefined : queueLimitFor(slots, load.entryCount(this.#monotonicNow())),
+			timeoutMs: isStarted ? this.#untilEndMs(route) : Math.min(this.#retryTimeoutMs(route) - this.#elapsedMs(), this.#remainingMs(route)),
+			queueLimit: isStarted ? undefined : queueLimitFor(slots, load.entryCount(this.#monotonicNow())),
 			signal,
 		});
 	}
@@ -668,9 +668,12 @@
 		return {first: Math.max(0, later - this.#sinceProgressMs()), later};
 	}
 
-	/** Whether the caller of a stream should still be there: it disconnects after a time without an event. */
+	/**
+	 * Whether the caller should still be there: that of a stream disconnects after a time without an event. Once the answer has begun, only
+	 * its connection tells, since it may read what was written much later.
+	 */
 	#isCallerPatient(route: Route): boolean {
-		return route.kind.kind !== 'stream' || this.#sinceProgressMs() < streamPatienceMs(route);
+		return route.kind.kind !== 'stream' || this.#callerResponse.isStarted || this.#sinceProgressMs() < streamPatienceMs(route);
 	}
 
 	async #handleResult(route: Route, endpoint: EndpointRecord, attempt: Attempt, result: AttemptResult): Promise<AttemptEnd> {
@@ -988,7 +991,7 @@
 		return this.#monotonicNow() - this.#arrival.earliest.monotonicMs;
 	}
 
-	/** Time since the last event was forwarded to the caller, or since the request arrived, in ms. */
+	/** Time since the last event was forwarded to the caller, or since the request was read, in ms. */
 	#sinceProgressMs(): number {
 		return this.#monotonicNow() - (this.#progress.lastEventAt ?? this.#arrival.latest.monotonicMs);
 	}
@@ -1002,6 +1005,11 @@
 		return Math.min(this.#callTimeMs(route), this.#context.shutdown.remainingMs());
 	}
 
+	/** Time until the race ends by itself, in ms. */
+	#untilEndMs(route: Route): number {
+		return this.#callTimeMs(route) + (this.#callerResponse.isStarted ? BEGUN_STREAM_MARGIN_MS : 0);
+	}
+
 	/** Time that is left for an endpoint, in ms, at least. */
 	#forwardedMs(route: Route): number {
 		return Math.min(callTimeOf(route, this.#req) - this.#elapsedMs(), this.#context.shutdown.remainingMs());
