Judge late requests of a stopping entry by the time handed on

planned-stop.test.ts, "complete late, ends in time", was refused with `stopping` since the end of a request counts from its last byte: a body that arrives late prolonged the request beyond the stop. Whether an answer can still be given depends on the time that an endpoint gets, which counts from the earliest arrival.

--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -443,7 +443,7 @@
 			return notBegun(this.#attempts === 0 ? 'timeout-before-sent' : 'timeout');
 		}
 
-		if (this.#attempts === 0 && !this.#context.shutdown.mayTake(this.#callTimeMs(route))) {
+		if (this.#attempts === 0 && !this.#context.shutdown.mayTake(this.#endpointTimeMs(route))) {
 			return notBegun('stopping');
 		}
 
@@ -1012,7 +1012,12 @@
 
 	/** Time that is left for an endpoint, in ms, at least. */
 	#forwardedMs(route: Route): number {
-		return Math.min(callTimeOf(route, this.#req) - this.#elapsedMs(), this.#context.shutdown.remainingMs());
+		return Math.min(this.#endpointTimeMs(route), this.#context.shutdown.remainingMs());
+	}
+
+	/** Time for which an endpoint may be at work, unless this entry stops, in ms. */
+	#endpointTimeMs(route: Route): number {
+		return callTimeOf(route, this.#req) - this.#elapsedMs();
 	}
 
 	/** Time until the caller's deadline or the route's timeout, whichever is sooner, in ms. */
