--- a/packages/soak/src/invariant-checker.ts
+++ b/packages/soak/src/invariant-checker.ts
@@ -3,7 +3,7 @@
  * has ended once its outcome is known. A back end may still run it after that, except when it was refused as not run.
  */
 import type {
-	Attempt, AttemptOutcome, BackEndObserver, LossJudgement, Run, RunEnd, SoakBounds,
+	Attempt, AttemptOutcome, BackEndObserver, LossJudgement, Run, SoakBounds,
 } from './types.js';
 
 /** Statuses which guarantee that the request has not run and never will. */
@@ -15,7 +15,7 @@
 	readonly now: () => number;
 };
 
-type AttemptRecord = {readonly attempt: Attempt; received: number; brokenOff: number; readonly runs: Run[]; outcome: AttemptOutcome | undefined};
+type AttemptRecord = {readonly attempt: Attempt; received: number; readonly runs: Run[]; outcome: AttemptOutcome | undefined};
 
 /** Totals of a soak test. */
 export type SoakCounts = {readonly attempts: number; readonly served: number; readonly refused: number; readonly failed: number; readonly repeats: number; readonly excusedLosses: Readonly<Record<string, number>>};
@@ -41,7 +41,7 @@
 
 	sent(attempt: Attempt): void {
 		this.#records.set(attempt.id, {
-			attempt, received: 0, brokenOff: 0, runs: [], outcome: undefined,
+			attempt, received: 0, runs: [], outcome: undefined,
 		});
 		this.#sent.push(attempt.sentAt);
 	}
@@ -59,7 +59,7 @@
 			this.#checkRetryBudget();
 		}
 
-		if (record.received - record.brokenOff > this.#options.bounds.maxAttempts) {
+		if (record.received > this.#options.bounds.maxAttempts) {
 			this.#reportViolation(`${describe(record)} was sent to ${record.received} back ends`);
 		}
 	};
@@ -96,13 +96,6 @@
 		this.#replayedAt = at;
 	}
 
-	readonly runEnded = (id: string, end: RunEnd): void => {
-		const record = this.#records.get(id);
-		if (record !== undefined && end === 'broken off') {
-			record.brokenOff += 1;
-		}
-	};
-
 	/** Records the outcome of an attempt and checks it; `loss` judges an end without a complete answer. */
 	ended(id: string, outcome: AttemptOutcome, loss: LossJudgement): void {
 		const record = this.#records.get(id)!;
