Send no end before the reset of a response without a length

Cause: Node's resetAndDestroy begins with destroySoon, which CallerConnection replaces by a close that first ends the sending side, so that an end could reach the caller before the reset. Ruled out: the replicas, which reset what they break off, and the end of a process (the lines say timeout, 4.7 s after a SIGTERM and without one).

--- a/packages/connections/src/caller-connection.ts
+++ b/packages/connections/src/caller-connection.ts
@@ -97,6 +97,16 @@
 		return true;
 	}
 
+	/** Resets the connection, so that what was sent does not look complete. */
+	reset(): void {
+		// Node's own reset begins with it, and must not send an end first.
+		this.#socket.destroySoon = () => {
+			this.#socket.destroy();
+		};
+
+		this.#socket.resetAndDestroy();
+	}
+
 	/** Sends a last response that belongs to no request. */
 	endWith(response: string): void {
 		this.#socket.write(response);
--- a/packages/gateway/src/caller-response.ts
+++ b/packages/gateway/src/caller-response.ts
@@ -17,6 +17,8 @@
 	readonly closeReason: () => string | undefined;
 	/** Called when the connection is closed before the response is complete. */
 	readonly onCut: () => void;
+	/** Resets the connection. */
+	readonly reset: () => void;
 };
 
 export class CallerResponse {
@@ -134,7 +136,7 @@
 		this.#isDestroyed = true;
 		this.#options.onCut();
 		if (this.#isUnframed) {
-			this.#socket.resetAndDestroy();
+			this.#options.reset();
 		}
 
 		this.#res.destroy();
@@ -144,7 +146,7 @@
 	resetUnframed(): boolean {
 		const isCut = this.#isUnframed && !this.#res.writableFinished;
 		if (isCut) {
-			this.#socket.resetAndDestroy();
+			this.#options.reset();
 		}
 
 		return isCut;
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -101,6 +101,9 @@
 				onCut() {
 					connection.noteClose('earlier response was cut off');
 				},
+				reset() {
+					connection.reset();
+				},
 			});
 			this.#openResponses.set(res, {callerResponse, requestId: undefined, handler: undefined});
 			res.once('close', () => {
