Keep a begun stream open when its replica stops at the time it was handed

Callers saw a stream closed before their time where its replica stopped at the time that it was handed, which is shorter by a margin and by the wait that the request may have had. No other attempt can be made then, so the entry closed at once: a bound of the replica became the end of the answer.

The connection now stays open until the request's own end. Nothing runs meanwhile, and a caller that leaves ends it.

--- a/packages/gateway/__tests__/unit/begun-stream-bounds.test.ts
+++ b/packages/gateway/__tests__/unit/begun-stream-bounds.test.ts
@@ -35,6 +35,7 @@
 	{
 		name: 'its group is stopped for longer than its caller should have waited', scripts: [begins(100), goesOn], stoppedUntilMs: PATIENCE_MS + 600, isComplete: true,
 	},
+	{name: 'its endpoint breaks off at the end of the time that it was handed', scripts: [begins(TIMEOUT_MS - 15)], isComplete: false},
 	{
 		name: 'its group stays stopped', scripts: [begins(100), goesOn], stoppedUntilMs: Infinity, isComplete: false,
 	},
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -330,7 +330,7 @@
 
 			case 'not-begun': {
 				this.#releaseRetry();
-				if (!race.isAnyOpen) {
+				if (this.#isLast(route, race)) {
 					return this.#end(end.reason, end.detail);
 				}
 
@@ -340,7 +340,7 @@
 
 			case 'no-retry': {
 				this.#releaseRetry();
-				if (!race.isAnyOpen) {
+				if (this.#isLast(route, race)) {
 					return this.#end(this.#failureReason ?? 'timeout');
 				}
 
@@ -362,7 +362,7 @@
 			this.#releaseRetry();
 		}
 
-		const isLast = !race.isAnyOpen;
+		const isLast = this.#isLast(route, race);
 		if (!isLast && failure.respond !== undefined && !this.#callerResponse.isStarted) {
 			race.stopWithin(this.#forwardedMs(route) - RESPONSE_MARGIN_MS);
 		}
@@ -374,6 +374,14 @@
 		return isLast ? (failure.respond?.() ?? this.#end(this.#failureReason)) : undefined;
 	}
 
+	/**
+	 * Whether the request ends as an attempt has ended. A begun stream whose endpoint stops at the time that it was handed goes on without one
+	 * until the race ends it: that time is over before the caller's.
+	 */
+	#isLast(route: Route, race: Race): boolean {
+		return !race.isAnyOpen && !(this.#callerResponse.isStarted && this.#endpointTimeMs(route) < MIN_ATTEMPT_MS);
+	}
+
 	#decideRetry(route: Route, {retry}: FailedAttempt): RetryDecision {
 		switch (retry) {
 			case 'free': {
