--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -116,7 +116,7 @@
 			}
 
 			this.#serve(req, res, callerResponse).catch((error: unknown) => {
-				this.#failInternally(callerResponse, error);
+				this.#failInternally(callerResponse, this.#openResponses.get(res)?.requestId, error);
 			});
 		});
 		this.#server.on('connection', socket => {
@@ -248,10 +248,10 @@
 		this.#options.context.events.record({kind: 'not-taken', requestId, reason: 'connection closes'});
 	}
 
-	/** Ends a request that could not be decoded, and has been sent nowhere. */
-	#failInternally(callerResponse: CallerResponse, error: unknown): void {
+	/** Ends a request outside its handler, as one that could not be decoded. */
+	#failInternally(callerResponse: CallerResponse, requestId: string | undefined, error: unknown): void {
 		this.#options.context.events.record({
-			kind: 'internal-error', where: 'request', requestId: undefined, error,
+			kind: 'internal-error', where: 'request', requestId, error,
 		});
 		if (callerResponse.isStarted) {
 			callerResponse.destroy();
