--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -361,8 +361,8 @@
 
 			case 'not-begun': {
 				this.#releaseRetry();
-				if (!race.isAnyOpen) {
-					return this.#isEndedByDeadline(route) ? undefined : this.#end(end.reason, end.detail);
+				if (this.#isLast(route, race)) {
+					return this.#end(end.reason, end.detail);
 				}
 
 				this.#askAgain(route, race);
@@ -371,8 +371,8 @@
 
 			case 'no-retry': {
 				this.#releaseRetry();
-				if (!race.isAnyOpen) {
-					return this.#isEndedByDeadline(route) ? undefined : this.#end(this.#failureReason ?? 'timeout');
+				if (this.#isLast(route, race)) {
+					return this.#end(this.#failureReason ?? 'timeout');
 				}
 
 				this.#askAgain(route, race);
@@ -393,12 +393,7 @@
 			this.#releaseRetry();
 		}
 
-		const isLast = !race.isAnyOpen;
-		if (isLast && this.#isEndedByDeadline(route)) {
-			this.#recordAttemptFailure({...failure, retry});
-			return undefined;
-		}
-
+		const isLast = this.#isLast(route, race);
 		if (!isLast && failure.respond !== undefined && !this.#callerResponse.isStarted) {
 			race.stopWithin(this.#forwardedMs(route) - RESPONSE_MARGIN_MS);
 		}
@@ -410,9 +405,12 @@
 		return isLast ? (failure.respond?.() ?? this.#end(this.#failureReason)) : undefined;
 	}
 
-	/** Whether a stream that has begun ended at the time that was handed on; its caller's is over later, and the race stops then. */
-	#isEndedByDeadline(route: Route): boolean {
-		return this.#callerResponse.isStarted && this.#endpointTimeMs(route) < MIN_ATTEMPT_MS && this.#unframedEnd === undefined;
+	/**
+	 * Whether the request ends as an attempt has ended. A begun stream whose endpoint stops at the time that it was handed goes on without one
+	 * until the race ends it: that time is over before the caller's.
+	 */
+	#isLast(route: Route, race: Race): boolean {
+		return !race.isAnyOpen && (!this.#callerResponse.isStarted || this.#unframedEnd !== undefined || this.#endpointTimeMs(route) >= MIN_ATTEMPT_MS);
 	}
 
 	#decideRetry(route: Route, {retry}: FailedAttempt): RetryDecision {
