Ask the connection how a response without a length ended in the soak's callers

The entry resets them (150 of 150 at a raw socket); Node's parser takes a reset for the end, and its sockets do where the reset is polled together with the last bytes (72 of 1500 before a plain server).

--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -8,6 +8,7 @@
 import type {
 	Attempt, AttemptOutcome, CallConnection, CallerKey, CallObserver, CallSite, CallStyle, CallTarget, Load, LoadProfile, RequestKind,
 } from './types.js';
+import {isUnframed} from '#connections';
 import {sleep} from '#core';
 import type {Random} from '#standins-engine';
 
@@ -254,16 +255,18 @@
 
 async function readOutcome(res: IncomingMessage, {kind}: Attempt, isSigned: boolean): Promise<AttemptOutcome> {
 	const chunks: string[] = [];
+	const isReset = isUnframed(res) ? awaitReset(res.socket) : Promise.resolve(false);
 	res.setEncoding('utf8').on('data', (chunk: string) => {
 		chunks.push(chunk);
 	});
 	return new Promise(resolve => {
-		const finish = () => {
+		const finish = async () => {
 			const body = chunks.join('');
+			const isComplete = !await isReset && res.complete;
 			if (kind === 'stream' && res.statusCode === 200) {
-				resolve({kind: 'stream', events: parseEvents(body), isComplete: res.complete});
+				resolve({kind: 'stream', events: parseEvents(body), isComplete});
 			} else {
-				resolve(res.complete
+				resolve(isComplete
 					? {
 						kind: 'answer', status: res.statusCode!, body, isSigned,
 					}
@@ -272,7 +275,24 @@
 		};
 
 		res.on('error', () => undefined);
-		res.once('close', finish);
+		res.once('close', () => {
+			void finish();
+		});
+	});
+}
+
+/** Whether a connection ends by a reset; Node's parser takes one for the end of a response without a length, and its sockets do where it is polled together with the last bytes. */
+async function awaitReset(socket: Socket): Promise<boolean> {
+	return new Promise(resolve => {
+		socket.prependOnceListener('end', () => {
+			// A write fails only after a reset.
+			socket.write('\r\n', err => {
+				resolve(Boolean(err));
+			});
+		});
+		socket.once('close', hadError => {
+			resolve(hadError);
+		});
 	});
 }
 
