Own stack: a begun stream waits for an endpoint that is missing from the list

When the only one is replaced and not listed meanwhile, the reason is 'unknown-model', which ended the stream at once. The wait was also measured on the wall clock.

Callers saw 'stream-lost' as soon as a machine left the list, although its successor came back within seconds and its engine held the stream.

--- a/packages/entry/src/model-request.ts
+++ b/packages/entry/src/model-request.ts
@@ -122,7 +122,7 @@
 	#attemptCount = 0;
 	/** Attempts that were refused because a suspect request must not share an endpoint with another suspect. */
 	#isolationRefusals = 0;
-	/** When a started stream first found no endpoint, ms since the epoch. */
+	/** When a started stream first found no endpoint, on the monotonic clock in ms. */
 	#resumeWaitStartedAt: number | undefined;
 	/** `unknown` once any attempt may have run. */
 	#outcome: Outcome = 'not-run';
@@ -239,8 +239,11 @@
 
 	/** Whether a started stream waits until its endpoint process is replaced, or another endpoint is available. */
 	#mayWaitForEndpoint(reason: RefusalReason): boolean {
-		this.#resumeWaitStartedAt ??= Date.now();
-		return this.#options.response.streaming && reason === 'no-endpoint' && Date.now() - this.#resumeWaitStartedAt <= RESUME_TIMEOUT_MS;
+		const now = performance.now();
+		this.#resumeWaitStartedAt ??= now;
+		// An endpoint that is replaced may be missing from the list of machines meanwhile.
+		const isTemporary = reason === 'no-endpoint' || reason === 'unknown-model';
+		return this.#options.response.streaming && isTemporary && now - this.#resumeWaitStartedAt <= RESUME_TIMEOUT_MS;
 	}
 
 	/** The refusal to report: `stream-lost` for a started stream, and `not-run` only if no attempt can have run. */
