Own stack: a replica that generates another text ends no stream that may go on

Cause: beside a begun stream that is silent another replica is asked. If that one generates another text, it reports that it cannot continue the stream, and that was taken as the end of the request: the silent attempt was cancelled.

Callers saw 'stream-lost' although the first engine went on 6 s later.

Now such a replica is not asked again for the request, and the request ends only if no other attempt is open. An answer that arrives corrupt still ends it, since what was delivered cannot be trusted. The stand-in engine has a fault for it.

--- a/packages/entry/src/model-request.ts
+++ b/packages/entry/src/model-request.ts
@@ -113,6 +113,8 @@
 	readonly #context: RequestContext;
 	readonly #options: ModelRequestOptions;
 	readonly #excluded = new Set<string>();
+	/** Replicas that cannot continue the stream. */
+	readonly #unfit = new Set<string>();
 	/** Replicas of the attempts in progress. */
 	readonly #open = new Set<string>();
 	/** The attempt that has delivered last. */
@@ -212,7 +214,10 @@
 
 		const failure = this.#handleFailure(end.result, end.replica);
 		if (failure.kind === 'refusal') {
-			return {kind: 'end', result: this.#finalRefusal(failure)};
+			this.#unfit.add(end.replica.id);
+			const refusal = this.#finalRefusal(failure);
+			// What was delivered from a corrupt answer cannot be trusted; otherwise a silent attempt may go on.
+			return {kind: end.result.kind === 'corrupt' ? 'end' : 'give-up', result: refusal};
 		}
 
 		const {result, replica, permit} = end;
@@ -279,7 +284,7 @@
 			outputTokens: inference.outputTokens,
 			prefixes: inference.prefixes,
 			prefixLookup: this.#context.prefixes.lookup(inference.prefixes, Date.now()),
-			excluded: new Set([...this.#excluded, ...this.#open]),
+			excluded: new Set([...this.#excluded, ...this.#unfit, ...this.#open]),
 		};
 	}
 
--- a/packages/integration/__tests__/integration/begun-streams.test.ts
+++ b/packages/integration/__tests__/integration/begun-streams.test.ts
@@ -13,6 +13,9 @@
 /** At 20 ms per step the stream takes longer than until it is disturbed. */
 const TOKENS = 300;
 
+/** Longer than until another replica is asked for a silent stream, and until that has repeated what the caller has, in ms. */
+const STALL_MS = 20_000;
+
 /** Time for which an endpoint is gone, in ms. */
 const ABSENCE_MS = 4000;
 
@@ -38,6 +41,13 @@
 			await fleet.restartEndpoint(node);
 		},
 	},
+	{
+		name: 'engine stalled, another replica generates another text',
+		engines: 2,
+		async disturb(fleet, node) {
+			await Promise.all(fleet.endpoints.map(async ({id, backendUrl}) => fleet.setFaults(backendUrl, id === node.id ? {stallMs: STALL_MS} : {otherText: true})));
+		},
+	},
 ];
 
 for (const {name, engines, disturb} of cases) {
--- a/packages/standins-engine/src/engine.ts
+++ b/packages/standins-engine/src/engine.ts
@@ -55,6 +55,7 @@
 	dropCacheEvents: 0,
 	expertShift: 0,
 	refuse: null,
+	otherText: false,
 };
 
 /** Minimum interval of load samples of a busy engine, in milliseconds. */
@@ -163,7 +164,10 @@
 		}
 
 		const run = Run.create({
-			request, response: createResponse(request, requestId), priority, sequence: this.#sequence++,
+			request,
+			response: createResponse(this.#faults.otherText ? {...request, seedText: `${request.seedText} other`} : request, requestId),
+			priority,
+			sequence: this.#sequence++,
 		});
 		this.recorder.recordRun(run);
 		this.#resumableRuns.get(requestId)?.release();
--- a/packages/standins-engine/src/faults.ts
+++ b/packages/standins-engine/src/faults.ts
@@ -23,6 +23,8 @@
 	expertShift: z.int().nonnegative(),
 	/** Status with which new requests are refused; null for none. */
 	refuse: z.int().min(400).max(599).nullable(),
+	/** Generates another text than other engines do for the same request. */
+	otherText: z.boolean(),
 });
 
 /** Active faults. */
