Own stack: silence alone ends no begun stream

Cause: after 60 s without data the next attempt was refused, and that refusal ended the request with the attempt that was still open. A begun stream has no deadline, and its caller may still wait.

Callers would see 'stream-lost' after 60 s of silence, also from a stream of a service, which no attempt follows. Now no further attempt is made then, and the one that is open goes on until it ends, its link is lost or the caller leaves.

Not run with real processes.

--- a/packages/entry/__tests__/unit/overlapping-attempts.test.ts
+++ b/packages/entry/__tests__/unit/overlapping-attempts.test.ts
@@ -1,6 +1,7 @@
 /** What follows an attempt that is silent: it goes on, whatever becomes of those beside it. */
 import t from 'tap';
-import {makeAttempts, type RequestAttempt} from '../../src/overlapping-attempts.js';
+import {type CallerResponse} from '../../src/caller-response.js';
+import {checkPatience, makeAttempts, type RequestAttempt} from '../../src/overlapping-attempts.js';
 import {createDeferred} from '#core';
 
 type End = 'done' | 'denied' | 'refused';
@@ -55,3 +56,36 @@
 		t.equal(attempts[0]!.signal.aborted, winner !== 1);
 	});
 }
+
+const MINUTE_MS = 60_000;
+
+/** What ends an attempt that is open; times in ms relative to now. */
+const patienceCases: ReadonlyArray<{
+	readonly name: string;
+	readonly response: Partial<CallerResponse>;
+	readonly sendBy: number;
+	readonly endAt: number;
+	readonly isFinal: boolean | undefined;
+}> = [
+	{
+		name: 'no answer, before the deadline', response: {streaming: false}, sendBy: MINUTE_MS, endAt: MINUTE_MS, isFinal: undefined,
+	},
+	{
+		name: 'no answer, perhaps after the deadline', response: {streaming: false}, sendBy: -1, endAt: MINUTE_MS, isFinal: false,
+	},
+	{
+		name: 'no answer, surely after the deadline', response: {streaming: false}, sendBy: -MINUTE_MS, endAt: -1, isFinal: true,
+	},
+	{
+		name: 'begun stream, after the deadline', response: {streaming: true, progressAt: performance.now()}, sendBy: -MINUTE_MS, endAt: -MINUTE_MS, isFinal: undefined,
+	},
+	{
+		name: 'begun stream, silent for longer than another attempt is made', response: {streaming: true, progressAt: performance.now() - (2 * MINUTE_MS)}, sendBy: -MINUTE_MS, endAt: -MINUTE_MS, isFinal: false,
+	},
+];
+
+for (const {name, response, sendBy, endAt, isFinal} of patienceCases) {
+	void t.test(name, async t => {
+		t.equal(checkPatience({sendBy: Date.now() + sendBy, endAt: performance.now() + endAt}, response as CallerResponse)?.isFinal, isFinal);
+	});
+}
--- a/packages/entry/src/overlapping-attempts.ts
+++ b/packages/entry/src/overlapping-attempts.ts
@@ -9,7 +9,7 @@
 /** Interval at which an attempt beside silent ones is asked for again: the budget and the endpoints may allow it then. */
 const ASK_AGAIN_INTERVAL_MS = 250;
 
-/** A started stream without data for this time ends: it has no deadline, and its caller would not wait longer for its first byte by default. */
+/** No more attempts are made for a started stream without data for this time; those that are open go on, since it has no deadline. */
 const MAX_STREAM_SILENCE_MS = 60_000;
 
 /** A replica that has gone silent. */
@@ -105,7 +105,7 @@
 	const now = performance.now();
 	if (response.streaming) {
 		return now - response.progressAt > MAX_STREAM_SILENCE_MS
-			? {refusal: createRefusal('stream-lost', 'unknown', `the stream was silent for ${MAX_STREAM_SILENCE_MS / 1000} s`), isFinal: true}
+			? {refusal: createRefusal('stream-lost', 'unknown', `the stream was silent for ${MAX_STREAM_SILENCE_MS / 1000} s`), isFinal: false}
 			: undefined;
 	}
 
