Own stack: tell why a caller's connection ends without a whole answer

A begun stream that ended without its end, a caller that left and a connection that the entry closed had one line, 'request ended', which told neither the bytes written nor who closed. Added: 'answer cut off' with the reason, its detail and the bytes of the stream; 'caller left', and 'connection closed' with the reason where the entry closed. The words are those of the platform's entry.

caller-ends.test.ts passes; lost-service-streams.test.ts also waits for the reason in the log, and passes.

--- a/packages/entry/src/caller-response.ts
+++ b/packages/entry/src/caller-response.ts
@@ -22,6 +22,8 @@
 	readonly onDelivered: (offset: number) => void;
 	/** Whether the connection closes after this response; called when its head is about to be sent. */
 	readonly closesAfter: () => boolean;
+	/** Called when a stream that has begun ends without its end, with the bytes of it that were written. */
+	readonly onCutOff: (refusal: Refusal, bytes: number) => void;
 };
 
 export class CallerResponse {
@@ -144,6 +146,7 @@
 	refuse(refusal: Refusal): void {
 		const {status, headers, body} = renderRefusal(refusal);
 		if (this.#streaming) {
+			this.#options.onCutOff(refusal, this.#checksum.bytes);
 			this.#res.end(`\n\ndata: ${body}\n\n`);
 			return;
 		}
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -90,7 +90,13 @@
 
 	/** Why this entry closed the connection of a response; undefined if it did not. */
 	closeReasonOf(res: ServerResponse): string | undefined {
-		return this.#connections.get(res.req.socket)?.closeReason;
+		return this.#connectionOf(res.req.socket).closeReason;
+	}
+
+	/** Closes the connection of a response that cannot be ended in another way. */
+	cut(res: ServerResponse, reason: string): void {
+		this.#connectionOf(res.req.socket).noteClose(reason);
+		res.destroy();
 	}
 
 	/** Closes each connection after its next response; new connections are still accepted. */
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,6 +1,6 @@
 /** The entry role: the HTTP proxy that callers connect to. Authenticates requests and runs them at the endpoints. */
 import {randomUUID} from 'node:crypto';
-import {type IncomingMessage} from 'node:http';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {once} from 'node:events';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -252,6 +252,11 @@
 		return CallerResponse.create(res.raw, requestId, {
 			onDelivered,
 			closesAfter: () => this.#server.closesAfter(res.raw),
+			onCutOff: ({reason, message}, bytes) => {
+				this.#log.warn('answer cut off', {
+					requestId, reason, detail: message, bytes,
+				});
+			},
 		});
 	}
 
@@ -282,6 +287,7 @@
 		const disconnect = new AbortController();
 		res.raw.once('close', () => {
 			if (!res.raw.writableFinished) {
+				this.#recordDisconnect(res.raw, requestId);
 				disconnect.abort();
 			}
 		});
@@ -295,7 +301,7 @@
 			this.#recordResult(requestId, workspace, result, startedAt);
 		} catch (error) {
 			this.#log.error('request failed', {requestId, err: error});
-			res.raw.destroy();
+			this.#server.cut(res.raw, 'internal error');
 		} finally {
 			this.#inProgress -= 1;
 			if (this.#inProgress === 0) {
@@ -304,6 +310,16 @@
 		}
 	}
 
+	#recordDisconnect(res: ServerResponse, requestId: string): void {
+		const reason = this.#server.closeReasonOf(res);
+		const isAnswerBegun = res.headersSent;
+		if (reason === undefined) {
+			this.#log.info('caller left', {requestId, isAnswerBegun});
+		} else {
+			this.#log.warn('connection closed', {requestId, reason, isAnswerBegun});
+		}
+	}
+
 	#recordResult(requestId: string, workspace: WorkspaceRule, result: RequestResult, startedAt: number): void {
 		const {metrics} = this.#options;
 		const totalMs = performance.now() - startedAt;
--- a/packages/integration/__tests__/integration/lost-service-streams.test.ts
+++ b/packages/integration/__tests__/integration/lost-service-streams.test.ts
@@ -28,4 +28,5 @@
 	});
 	t.equal(received.text.split('data: 1\n').length - 1, 1, 'pieces of two runs are not joined');
 	t.match(errorOf(received), {code: 'stream-lost', outcome: 'unknown'});
+	await waitUntil('the log tells the reason', async () => entry.daemon.output.some(line => line.includes('answer cut off') && line.includes(received.requestId) && line.includes('stream-lost')));
 });
