--- a/packages/entry/src/model-request.ts
+++ b/packages/entry/src/model-request.ts
@@ -113,6 +113,8 @@
 	readonly #context: RequestContext;
 	readonly #options: ModelRequestOptions;
 	readonly #excluded = new Set<string>();
+	/** Replicas that cannot continue the stream. */
+	readonly #unfit = new Set<string>();
 	/** Replicas of the attempts in progress. */
 	readonly #open = new Set<string>();
 	/** The attempt that has delivered last. */
@@ -122,7 +124,7 @@
 	#attemptCount = 0;
 	/** Attempts that were refused because a suspect request must not share an endpoint with another suspect. */
 	#isolationRefusals = 0;
-	/** When a started stream first found no endpoint, ms since the epoch. */
+	/** When a started stream first found no endpoint, on the monotonic clock in ms. */
 	#resumeWaitStartedAt: number | undefined;
 	/** `unknown` once any attempt may have run. */
 	#outcome: Outcome = 'not-run';
@@ -212,7 +214,10 @@
 
 		const failure = this.#handleFailure(end.result, end.replica);
 		if (failure.kind === 'refusal') {
-			return {kind: 'end', result: this.#finalRefusal(failure)};
+			this.#unfit.add(end.replica.id);
+			const refusal = this.#finalRefusal(failure);
+			// What was delivered from a corrupt answer cannot be trusted; otherwise a silent attempt may go on.
+			return {kind: end.result.kind === 'corrupt' ? 'end' : 'give-up', result: refusal};
 		}
 
 		const {result, replica, permit} = end;
@@ -239,8 +244,11 @@
 
 	/** Whether a started stream waits until its endpoint process is replaced, or another endpoint is available. */
 	#mayWaitForEndpoint(reason: RefusalReason): boolean {
-		this.#resumeWaitStartedAt ??= Date.now();
-		return this.#options.response.streaming && reason === 'no-endpoint' && Date.now() - this.#resumeWaitStartedAt <= RESUME_TIMEOUT_MS;
+		const now = performance.now();
+		this.#resumeWaitStartedAt ??= now;
+		// An endpoint that is replaced may be missing from the list of machines meanwhile.
+		const isTemporary = reason === 'no-endpoint' || reason === 'unknown-model';
+		return this.#options.response.streaming && isTemporary && now - this.#resumeWaitStartedAt <= RESUME_TIMEOUT_MS;
 	}
 
 	/** The refusal to report: `stream-lost` for a started stream, and `not-run` only if no attempt can have run. */
@@ -276,7 +284,7 @@
 			outputTokens: inference.outputTokens,
 			prefixes: inference.prefixes,
 			prefixLookup: this.#context.prefixes.lookup(inference.prefixes, Date.now()),
-			excluded: new Set([...this.#excluded, ...this.#open]),
+			excluded: new Set([...this.#excluded, ...this.#unfit, ...this.#open]),
 		};
 	}
 
