Empty the backlog of a stopping entry before it handles what arrives

Cause: once callers are sent elsewhere, the listener stays open until the backlog is worked off. An overloaded entry accepts one connection per poll and handles a request in between, so that the backlog took ever new connections, up to the end of the grace period. Callers saw: connections that were held unread for up to 1.9 s and then reset, where a refusal would have sent them elsewhere at once.

From that moment on, requests on connections that are accepted are read and held, for half a second at most, until the listener is closed; a new connection is refused at once then. What is accepted is handled in the order of its arrival.

Ruled out: a smaller backlog (the kernel drops the packets that open a connection, which costs their caller a second), and a reset of each connection that surely came later (needless where the backlog empties at once).

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -55,6 +55,8 @@
 /** An open request: its summary, or that it is still being read. */
 export type OpenRequest = RequestSummary | 'being read';
 
+type Hold = {readonly released: Promise<void>; readonly release: () => void};
+
 type OpenResponse = {readonly callerResponse: CallerResponse; readonly handler: RequestHandler | undefined};
 
 export class CallerServer {
@@ -67,6 +69,9 @@
 
 	readonly #server: Server;
 	#isDraining = false;
+	/** Holds the requests on `#heldConnections`; undefined unless new connections are added to them. */
+	#hold: Hold | undefined;
+	readonly #heldConnections = new WeakSet<Socket>();
 	/** Open responses; without a handler while the request is read. */
 	readonly #openResponses = new Map<ServerResponse, OpenResponse>();
 	/** Connections that have sent a request. */
@@ -114,6 +119,9 @@
 		});
 		this.#server.on('connection', socket => {
 			this.#backlogProbe.recordAccept(socket);
+			if (this.#hold !== undefined) {
+				this.#heldConnections.add(socket);
+			}
 		});
 		// The timeouts of the configuration apply; Node's own would abort requests that wait for a response.
 		this.#server.requestTimeout = 0;
@@ -178,6 +186,20 @@
 		}
 	}
 
+	/** Reads requests on connections that are accepted from now on, but handles them only after `releaseNew`: the backlog empties sooner. */
+	holdNew(): void {
+		let release: () => void;
+		const released = new Promise<void>(resolve => {
+			release = resolve;
+		});
+		this.#hold = {released, release: release!};
+	}
+
+	releaseNew(): void {
+		this.#hold?.release();
+		this.#hold = undefined;
+	}
+
 	/** Stops accepting connections and closes idle ones; requests in progress continue. */
 	stopListening(): void {
 		// The HTTP server's own method would also close connections whose response is not written out yet.
@@ -244,6 +266,10 @@
 		const arrival = readDelay.arrivalOn(req.socket);
 		const caller = dialect.readRequest(req.method ?? 'GET', req.url ?? '/', req.headers, req.rawHeaders);
 		const body = await readBody(req, context.config.current?.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES);
+		if (this.#heldConnections.has(req.socket)) {
+			await this.#hold?.released;
+		}
+
 		if (body === 'broken' || body === 'too-large') {
 			context.events.record({kind: 'skipped-input', where: 'caller', detail: `body ${body}, request ${caller.id}`});
 		}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -68,6 +68,9 @@
 /** Stopping ends this long before the process would be killed, in ms. */
 const STOP_MARGIN_MS = 150;
 
+/** Longest time for which a stopping entry holds new requests to empty its backlog, in ms: a caller whose request is not read for a second tries elsewhere. */
+const MAX_HOLD_MS = 500;
+
 /** Interval at which a stopping entry checks whether all requests have ended, in ms. */
 const STOP_POLL_MS = 50;
 
@@ -212,8 +215,10 @@
 			runStep(() => this.#callerServer?.prepareForEnd());
 		}, {once: true});
 		await sleep(Math.min(this.#shutdown.deregistrationDelayMs, this.#shutdown.remainingMs('not-begun')));
-		await this.#backlogAccepted(endsAt);
+		runStep(() => this.#callerServer?.holdNew());
+		await this.#backlogAccepted(Math.min(endsAt, performance.now() + MAX_HOLD_MS));
 		runStep(() => this.#callerServer?.stopListening());
+		runStep(() => this.#callerServer?.releaseNew());
 		while (this.isBusy && performance.now() < endsAt) {
 			// A response that began before the stop did not announce that its connection closes.
 			runStep(() => this.#callerServer?.closeIdleConnections());
