--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -56,6 +56,8 @@
 	= | {readonly state: 'being read'; readonly requestId: string | undefined}
 		| ({readonly state: 'being handled' | 'being written'} & RequestSummary);
 
+type Hold = {readonly released: Promise<void>; readonly release: () => void};
+
 type OpenResponse = {
 	readonly callerResponse: CallerResponse;
 	/** Undefined while the request cannot be told by its id. */
@@ -74,6 +76,9 @@
 
 	readonly #server: Server;
 	#isDraining = false;
+	/** Holds the requests on `#heldConnections`; undefined unless new connections are added to them. */
+	#hold: Hold | undefined;
+	readonly #heldConnections = new WeakSet<Socket>();
 	readonly #openResponses = new Map<ServerResponse, OpenResponse>();
 	/** Connections that have sent a request. */
 	readonly #connections = new Map<Socket, CallerConnection>();
@@ -125,6 +130,9 @@
 		});
 		this.#server.on('connection', socket => {
 			this.#backlogProbe.recordAccept(socket);
+			if (this.#hold !== undefined) {
+				this.#heldConnections.add(socket);
+			}
 		});
 		// The timeouts of the configuration apply; Node's own would abort requests that wait for a response.
 		this.#server.requestTimeout = 0;
@@ -198,6 +206,20 @@
 		}
 	}
 
+	/** Reads requests on connections that are accepted from now on, but handles them only after `releaseNew`: the backlog empties sooner. */
+	holdNew(): void {
+		let release: () => void;
+		const released = new Promise<void>(resolve => {
+			release = resolve;
+		});
+		this.#hold = {released, release: release!};
+	}
+
+	releaseNew(): void {
+		this.#hold?.release();
+		this.#hold = undefined;
+	}
+
 	/** Stops accepting connections and closes idle ones; requests in progress continue. */
 	stopListening(): void {
 		// The HTTP server's own method would also close connections whose response is not written out yet.
@@ -285,6 +307,11 @@
 		}
 
 		const body = await readBody(req, context.config.current?.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES);
+		const readAt = context.now();
+		if (this.#heldConnections.has(req.socket)) {
+			await this.#hold?.released;
+		}
+
 		if (body === 'broken' || body === 'too-large') {
 			const {disconnect} = callerResponse;
 			context.events.record({
@@ -303,7 +330,7 @@
 			return;
 		}
 
-		const arrival = {...headArrival, latest: context.now()};
+		const arrival = {...headArrival, latest: readAt};
 		const handler = RequestHandler.create(context, {req: caller, body, arrival}, callerResponse);
 		if (open !== undefined) {
 			open.handler = handler;
