Let the first agent that says its group runs decide a check

Cause: the check before a second attempt asks three agents and waited for all; those on machines that stand still answer only by their timeout of 250 ms, of the 300 ms that were left. The answer was known as soon as one of them said that its group runs.

--- a/packages/gateway/src/group-monitor.ts
+++ b/packages/gateway/src/group-monitor.ts
@@ -144,8 +144,19 @@
 			sampled.push(...endpoints.splice(Math.floor(this.#options.random() * endpoints.length), 1));
 		}
 
-		const responses = await Promise.all(sampled.map(async endpoint => this.#probeEndpoint(endpoint)));
-		return responses.includes(true) ? true : (responses.includes(false) ? false : undefined);
+		const probes = sampled.map(async endpoint => this.#probeEndpoint(endpoint));
+		// The first group that runs decides: an agent that stands still responds only by its timeout.
+		const firstRunning = new Promise<true>(resolve => {
+			for (const probe of probes) {
+				void probe.then(isRunning => {
+					if (isRunning === true) {
+						resolve(true);
+					}
+				});
+			}
+		});
+		const all = Promise.all(probes).then(responses => responses.includes(true) ? true : (responses.includes(false) ? false : undefined));
+		return Promise.race([firstRunning, all]);
 	}
 
 	/** An exception counts as no response, so that waiting requests go on. */
