Avoid endpoints that are silent while others go on, and resume their streams sooner

Cause: each stream was judged alone, by a timeout of 1.7 s. Requests went on to endpoints whose streams were all silent; the second attempt came 0.3 s before its caller left, could go to another endpoint that stood still, and was refused as overload if its first attempt had no event yet (one was granted a retry five times and sent never).

Change: an entry observes the streams of a service together. An endpoint that is silent while others have events is chosen last, and its streams are sent again after 0.4 of their callers' patience, to endpoints that are seen to go on, in the place that they have.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -45,8 +45,8 @@
 	readonly buffers: BufferBudget;
 	/** Called just before the first byte of the request is sent. */
 	readonly onSending: () => void;
-	/** Called when the endpoint counts as silent; the attempt goes on. */
-	readonly onSilent: () => void;
+	/** Called when the endpoint may be silent; the attempt goes on. Returns the time after which it is called again, in ms. */
+	readonly onSilent: () => number | undefined;
 	/** Called with the head of whatever the endpoint sent, which need not be a response to this request. */
 	readonly onHead: (head: ResponseHead) => void;
 	/** Called with the head of the endpoint's response to this request. */
@@ -99,7 +99,16 @@
 
 async function awaitResponse(input: SentAttempt, exchange: Exchange, dialect: Dialect): Promise<AttemptResult> {
 	const {signal, silenceMs, onSilent} = input;
-	const timer = silenceMs === undefined ? undefined : setTimeout(onSilent, Math.max(0, silenceMs));
+	let timer: NodeJS.Timeout | undefined;
+	const startTimer = (ms: number | undefined) => {
+		if (ms !== undefined) {
+			timer = setTimeout(() => {
+				startTimer(onSilent());
+			}, Math.max(0, ms));
+		}
+	};
+
+	startTimer(silenceMs);
 	let onAbort: () => void;
 	const aborted = new Promise<AttemptResult>(resolve => {
 		onAbort = () => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,6 +6,7 @@
 import {CrashGuard} from './crash-guard.js';
 import type {Dialect} from './dialect.js';
 import {EndpointGate} from './endpoint-gate.js';
+import {EndpointSilence} from './endpoint-silence.js';
 import {EntryEventLog} from './event-log.js';
 import {GroupMonitor, type GroupProbe} from './group-monitor.js';
 import {LimitGuard} from './limit-guard.js';
@@ -151,6 +152,7 @@
 			health,
 			gate: EndpointGate.create({availability: EndpointAvailability.create({directory: this.directory, limits, health}), events: this.#events, now: monotonicNow}),
 			load: LoadTracker.create(),
+			silence: EndpointSilence.create(monotonicNow),
 			limitGuard,
 			pool,
 			crashGuard,
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -9,6 +9,7 @@
 import type {CrashGuard, CauseAdmission} from './crash-guard.js';
 import type {CallerRequest, Dialect} from './dialect.js';
 import type {EndpointGate, EndpointPass} from './endpoint-gate.js';
+import type {EndpointSilence, ObservedStream} from './endpoint-silence.js';
 import type {
 	CutAges, EntryEventLog, RequestSummary, RetryDecision,
 } from './event-log.js';
@@ -35,6 +36,7 @@
 	readonly directory: EndpointDirectory;
 	readonly health: EndpointHealth;
 	readonly load: LoadTracker;
+	readonly silence: EndpointSilence;
 	readonly limitGuard: LimitGuard;
 	readonly gate: EndpointGate;
 	readonly pool: ConnectionPool;
@@ -69,6 +71,12 @@
 /** A silent stream is sent to another endpoint this long before its caller would disconnect, in ms; a stopped group responds sooner. */
 const STREAM_RETRY_MARGIN_MS = 300;
 
+/** Share of its caller's patience after which a stream is sent to another endpoint if its own is silent while others go on; reading its prompt again takes time. */
+const LONE_SILENCE_SHARE = 0.4;
+
+/** Interval at which it is checked whether an endpoint is silent while others go on, in ms. */
+const SILENCE_CHECK_INTERVAL_MS = 100;
+
 /** Time in which a silent endpoint goes on once its group runs again, in ms; an attempt beside it is made after that. */
 const GROUP_RESUME_MS = 150;
 
@@ -101,6 +109,8 @@
 	permittedAt: Instant | undefined;
 	/** Retry that was granted for it, until it is sent. */
 	grantedRetry: GrantedRetry | undefined;
+	/** Its stream, from the time at which it is sent. */
+	observed: ObservedStream | undefined;
 };
 
 /** How an attempt that was not aborted ended. */
@@ -253,7 +263,7 @@
 	#start(race: Race, run: (attempt: Attempt) => Promise<AttemptEnd>): void {
 		race.start(async racing => {
 			const attempt: Attempt = {
-				...racing, probedCauses: this.#grantedCauses, permittedAt: undefined, grantedRetry: this.#grantedRetry,
+				...racing, probedCauses: this.#grantedCauses, permittedAt: undefined, grantedRetry: this.#grantedRetry, observed: undefined,
 			};
 			this.#grantedCauses = [];
 			this.#grantedRetry = undefined;
@@ -269,6 +279,7 @@
 				return end;
 			} finally {
 				attempt.grantedRetry?.release();
+				attempt.observed?.close();
 			}
 		});
 	}
@@ -488,7 +499,7 @@
 	}
 
 	#pickEndpoint(route: Route, from: 'any' | 'unlimited'): EndpointChoice {
-		const {gate, health, load, limitGuard, random} = this.#context;
+		const {gate, health, load, limitGuard, random, silence} = this.#context;
 		const now = this.#monotonicNow();
 		const endpoints = this.#endpoints();
 		const untried = endpoints.filter(({id}) => !this.#triedEndpoints.has(id));
@@ -502,15 +513,19 @@
 			return {kind: 'none', ...refusal};
 		}
 
-		const isNewStream = route.kind.kind === 'stream' && !this.#callerResponse.isStarted;
+		// A stream whose endpoint is silent was admitted, and has its place in the load of the service.
+		const isNewStream = route.kind.kind === 'stream' && !this.#callerResponse.isStarted && this.#lastSilent === undefined;
 		const isLateRequest = isNewStream && isLate(this.#priorityInput(route));
 		const overload = isNewStream ? this.#findOverload(route, isLateRequest) : undefined;
 		if (overload !== undefined) {
 			return {kind: 'none', reason: 'overload', detail: overload};
 		}
 
+		const {active, silent} = silence.endpointsOf(this.#service);
+		const isAvoided = (id: string) => this.#lastSilent === undefined || active.size === 0 ? silent.has(id) : !active.has(id);
 		const candidates = open.map(endpoint => ({
 			...endpoint,
+			isInBackoff: endpoint.isInBackoff || isAvoided(endpoint.id),
 			maxInFlight: isNewStream ? maxInFlightFor(endpoint.slots, isLateRequest) : Infinity,
 			inFlight: load.inFlight(endpoint.id, now),
 			failureRatio: health.failureRatio(endpoint.id),
@@ -584,13 +599,19 @@
 				isSent = true;
 				this.#attempts += 1;
 				this.#unsettledAttempts += 1;
+				attempt.observed = this.#observe(route, endpoint);
 				attempt.grantedRetry?.send(this.#monotonicNow());
 				attempt.grantedRetry = undefined;
 			},
-			onSilent() {
-				isSilent = true;
-				pass.end();
-				attempt.noteSilent(endpoint);
+			onSilent: () => {
+				const askAgainMs = this.#silenceLeftMs(route, endpoint);
+				if (askAgainMs === undefined) {
+					isSilent = true;
+					pass.end();
+					attempt.noteSilent(endpoint);
+				}
+
+				return askAgainMs;
 			},
 			onHead(head) {
 				pass.recordHead(head);
@@ -637,7 +658,7 @@
 			return undefined;
 		}
 
-		return route.kind.kind === 'stream' ? this.#retryTimeoutMs(route) : this.#remainingMs(route) * FIRST_ATTEMPT_TIME_SHARE;
+		return route.kind.kind === 'stream' ? LONE_SILENCE_SHARE * streamPatienceMs(route) : this.#remainingMs(route) * FIRST_ATTEMPT_TIME_SHARE;
 	}
 
 	/** Time without an event after which another attempt must begin to reach the caller before it disconnects, in ms. */
@@ -651,10 +672,16 @@
 			return undefined;
 		}
 
-		const later = this.#retryTimeoutMs(route);
+		const later = LONE_SILENCE_SHARE * streamPatienceMs(route);
 		return {first: Math.max(0, later - this.#sinceProgressMs()), later};
 	}
 
+	/** Time until an endpoint without a response or an event counts as silent, in ms; undefined if it does. */
+	#silenceLeftMs(route: Route, endpoint: EndpointRecord): number | undefined {
+		const leftMs = route.kind.kind === 'stream' ? this.#retryTimeoutMs(route) - this.#sinceProgressMs() : 0;
+		return leftMs <= 0 || this.#context.silence.endpointsOf(this.#service).silent.has(endpoint.id) ? undefined : Math.min(leftMs, SILENCE_CHECK_INTERVAL_MS);
+	}
+
 	/** Whether the caller of a stream should still be there: it disconnects after a time without an event. */
 	#isCallerPatient(route: Route): boolean {
 		return route.kind.kind !== 'stream' || this.#sinceProgressMs() < streamPatienceMs(route);
@@ -812,13 +839,23 @@
 				this.#firstByteMs = this.#callerResponse.isStarted ? this.#firstByteMs : this.#elapsedMs();
 				return attempt.claim();
 			},
-			onSilent() {
-				attempt.noteSilent(endpoint);
+			onSilent: () => {
+				const askAgainMs = this.#silenceLeftMs(route, endpoint);
+				if (askAgainMs === undefined) {
+					attempt.noteSilent(endpoint);
+				}
+
+				return askAgainMs;
+			},
+			onPaused() {
+				attempt.observed?.close();
 			},
 			onFirstEvent: () => {
+				attempt.observed?.recordEvent();
 				this.#context.crashGuard.recordBegun(this.#crashCauses, attempt.probedCauses);
 			},
 			onGap: gapMs => {
+				attempt.observed?.recordEvent();
 				this.#context.capacityOf(this.#service).record(gapMs, () => this.#serviceLoad(), this.#monotonicNow());
 			},
 		});
@@ -849,6 +886,12 @@
 		}
 	}
 
+	/** Observes a stream that is sent to an endpoint, if its route tells how long it may be silent. */
+	#observe(route: Route, endpoint: EndpointRecord): ObservedStream | undefined {
+		const laterMs = route.kind.kind === 'stream' ? route.kind.targetGapMs : undefined;
+		return laterMs === undefined ? undefined : this.#context.silence.openStream(this.#service, endpoint.id, {firstMs: LONE_SILENCE_SHARE * streamPatienceMs(route), laterMs});
+	}
+
 	/** Relays a stream; an exception closes the connection to its endpoint. */
 	async #relay(input: RelayInput): Promise<RelayResult> {
 		try {
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -32,15 +32,17 @@
 	readonly buffers: BufferBudget;
 	/** Called before anything is sent to the caller; if false, another endpoint's stream is relayed to it. */
 	readonly claim: () => boolean;
-	/** Called when the endpoint counts as silent; the relay goes on. */
-	readonly onSilent: () => void;
+	/** Called when the endpoint may be silent; the relay goes on. Returns the time after which it is called again without an event, in ms. */
+	readonly onSilent: () => number | undefined;
 	/** Called when the first event arrives. */
 	readonly onFirstEvent: () => void;
 	/** Called with the time between two events of this endpoint, in ms. */
 	readonly onGap: (gapMs: number) => void;
+	/** Called when no more is read for a while, since the caller reads too slowly. */
+	readonly onPaused: () => void;
 };
 
-export async function relayStream({res, exchange, callerResponse, head, progress, isResumable, silenceMs, signal, buffers, claim, onSilent, onFirstEvent, onGap}: RelayInput): Promise<RelayResult> {
+export async function relayStream({res, exchange, callerResponse, head, progress, isResumable, silenceMs, signal, buffers, claim, onSilent, onFirstEvent, onGap, onPaused}: RelayInput): Promise<RelayResult> {
 	const share = buffers.open();
 	const splitter = EventSplitter.create(progress.lastEventId, isResumable || progress.lastEventId !== undefined);
 	let lastEventAt: number | undefined;
@@ -60,8 +62,16 @@
 			res.off('data', onSourceData).off('end', onSourceEnd).off('close', onClose);
 		};
 
-		const startSilenceTimer = (ms: number | undefined) => ms === undefined ? undefined : setTimeout(onSilent, ms);
-		let silenceTimer = startSilenceTimer(silenceMs?.first);
+		let silenceTimer: NodeJS.Timeout | undefined;
+		const startSilenceTimer = (ms: number | undefined) => {
+			if (ms !== undefined) {
+				silenceTimer = setTimeout(() => {
+					startSilenceTimer(onSilent());
+				}, ms);
+			}
+		};
+
+		startSilenceTimer(silenceMs?.first);
 
 		/** Claims the caller, and sends the head unless it was sent. */
 		const claimCaller = () => {
@@ -101,17 +111,18 @@
 		/** Stops reading while the caller reads too slowly; the source is not to blame for that time. */
 		const pauseUntilDrained = async () => {
 			res.pause();
+			onPaused();
 			clearTimeout(silenceTimer);
 			await callerResponse.drained();
 			if (!isFinished) {
-				silenceTimer = startSilenceTimer(silenceMs?.later);
+				startSilenceTimer(silenceMs?.later);
 				res.resume();
 			}
 		};
 
 		const recordEvents = (count: number) => {
 			clearTimeout(silenceTimer);
-			silenceTimer = startSilenceTimer(silenceMs?.later);
+			startSilenceTimer(silenceMs?.later);
 			const now = performance.now();
 			if (lastEventAt === undefined) {
 				onFirstEvent();
