--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -163,6 +163,8 @@
 	#failureReason: RefusalReason | undefined;
 	/** Passes on the last failure that an endpoint answered with, if no other attempt delivers. */
 	#respondWithFailure: (() => FinalResult) | undefined;
+	/** The endpoint whose stream without a length has ended, and the last event that the caller had by then. */
+	#unframedEnd: {readonly endpoint: EndpointRecord; readonly lastEventId: number | undefined} | undefined;
 	#lastEndpoint = '';
 	/** The endpoint that was silent last. */
 	#lastSilent: EndpointRecord | undefined;
@@ -298,7 +300,7 @@
 			}
 
 			case 'stopped': {
-				return event.stop === 'caller-left' ? {kind: 'done'} : this.#failTimedOut();
+				return event.stop === 'caller-left' ? {kind: 'done'} : this.#failTimedOut(event.stop);
 			}
 
 			case 'threw': {
@@ -875,6 +877,14 @@
 				return {kind: 'no-retry'};
 			}
 
+			case 'unframed-end': {
+				this.#recordOutcome(endpoint.id, 'answered');
+				this.#unframedEnd = {endpoint, lastEventId: this.#progress.lastEventId};
+				return {
+					kind: 'failed', endpoint, outcome: 'unframed', detail: 'stream', finalReason: 'unknown-outcome', retry: repeatOf(route),
+				};
+			}
+
 			case 'broken': {
 				this.#recordOutcome(endpoint.id, 'broken');
 				await this.#checkCrash(endpoint, attempt);
@@ -911,14 +921,29 @@
 	/** Ends the request without an endpoint's answer. */
 	#fail(reason: RefusalReason, detail = ''): FinalResult {
 		if (this.#callerResponse.isStarted) {
-			return this.#cutOffResponse(undefined, reason);
+			return this.#endUnframed() ?? this.#cutOffResponse(undefined, reason);
 		}
 
 		// The refusal would promise that the request did not run, which is not known after an attempt with an unknown outcome.
 		return {kind: 'refuse', reason: (this.#mayHaveRun || this.#unsettledAttempts > 0) && refusalOf(reason).isNotRun ? 'unknown-outcome' : reason, detail: this.#failureDetail === '' ? detail : this.#failureDetail};
 	}
 
-	#failTimedOut(): FinalResult {
+	/** Ends a response as its endpoint did that sent no length, unless more was sent to the caller since. */
+	#endUnframed(): FinalResult | undefined {
+		if (this.#unframedEnd === undefined || !this.#callerResponse.isUnframedStream || this.#unframedEnd.lastEventId !== this.#progress.lastEventId) {
+			return undefined;
+		}
+
+		this.#callerResponse.endStream();
+		this.#recordResponse(this.#unframedEnd.endpoint, 200);
+		return {kind: 'done'};
+	}
+
+	#failTimedOut(stop: 'deadline' | 'stopping'): FinalResult {
+		if (stop === 'stopping' && this.#callerResponse.isStarted) {
+			return this.#endUnframed() ?? this.#cutOffResponse(undefined, 'stopping');
+		}
+
 		return this.#attempts === 0 ? this.#end('timeout-before-sent') : this.#end('timeout', `silent at ${this.#lastEndpoint}`);
 	}
 
@@ -938,7 +963,15 @@
 		const now = this.#monotonicNow();
 		const ageOf = (at: number | undefined) => at === undefined ? undefined : Math.round(now - at);
 		const stopAgeMs = this.#context.shutdown.ageMs;
-		return {sinceEventMs: ageOf(this.#progress.lastEventAt), sinceByteMs: ageOf(this.#progress.lastByteAt), sinceStopMs: stopAgeMs === undefined ? undefined : Math.round(stopAgeMs)};
+		const timeMs = this.#route === undefined ? undefined : callTimeOf(this.#route, this.#req);
+		const overdueFrom = ({monotonicMs}: Instant) => timeMs === undefined ? undefined : Math.round(now - monotonicMs - timeMs);
+		return {
+			sinceEventMs: ageOf(this.#progress.lastEventAt),
+			sinceByteMs: ageOf(this.#progress.lastByteAt),
+			sinceStopMs: stopAgeMs === undefined ? undefined : Math.round(stopAgeMs),
+			minOverdueMs: overdueFrom(this.#arrival.latest),
+			maxOverdueMs: overdueFrom(this.#arrival.earliest),
+		};
 	}
 
 	#refuse(reason: RefusalReason, detail: string): void {
