Run a pipelined request only when the response before it has begun

Cause: a response without a length ends with its connection, which isn't known before its head. A request behind it was passed on at once, and got no answer. RFC 9112 lets a server run pipelined requests at once only if all are safe.

A request waits until the responses to all earlier ones of its connection have begun. One that must close the connection is the last: what was read after it is not passed on, and has a line `input skipped`, `request ... after the last response`. A stream begins with its first event, so requests behind one still run beside it. What it costs: the time of a request behind a slow one passes while it waits.

--- a/packages/gateway/src/caller-connection.ts
+++ b/packages/gateway/src/caller-connection.ts
@@ -11,6 +11,12 @@
 	}
 
 	#open: ServerResponse[] = [];
+	/** Open responses whose head was sent or is about to be. */
+	readonly #begun = new WeakSet<ServerResponse>();
+	/** The response that closes the connection, whatever was taken after it. */
+	#last: ServerResponse | undefined;
+	/** Wake requests that wait for their turn. */
+	#wakers: Array<() => void> = [];
 	/** Whether no more requests are taken, since it closes after those that are open. */
 	#isClosing = false;
 	#isLingering = false;
@@ -28,6 +34,8 @@
 			for (const res of this.#open.filter(res => res.socket === null)) {
 				res.emit('close');
 			}
+
+			this.#wake();
 		});
 	}
 
@@ -45,11 +53,26 @@
 		this.#open.push(res);
 		res.once('close', () => {
 			this.#open = this.#open.filter(other => other !== res);
+			this.#wake();
 			this.#closeIfDone();
 		});
 		return true;
 	}
 
+	/**
+	 * Waits until the responses to all earlier requests have begun: a response without a length can't be followed by another. Returns
+	 * whether a response to this request can still be sent.
+	 */
+	async awaitTurn(res: ServerResponse): Promise<boolean> {
+		while (this.#isAnswerable(res) && this.#open.slice(0, this.#open.indexOf(res)).some(earlier => !this.#begun.has(earlier))) {
+			await new Promise<void>(resolve => {
+				this.#wakers.push(resolve);
+			});
+		}
+
+		return this.#isAnswerable(res);
+	}
+
 	/**
 	 * Decides whether the connection closes after a response whose head is about to be sent; requests that were taken after it are
 	 * answered first unless it must.
@@ -60,6 +83,12 @@
 			this.#isClosing = true;
 		}
 
+		if (wish === 'must-close') {
+			this.#last = res;
+		}
+
+		this.#begun.add(res);
+		this.#wake();
 		return wish === 'must-close' || (this.#isClosing && isLast);
 	}
 
@@ -81,6 +110,18 @@
 		this.#linger();
 	}
 
+	#isAnswerable(res: ServerResponse): boolean {
+		return !this.#socket.destroyed && this.#open.includes(res) && (this.#last === undefined || this.#last === res);
+	}
+
+	#wake(): void {
+		const wakers = this.#wakers;
+		this.#wakers = [];
+		for (const wake of wakers) {
+			wake();
+		}
+	}
+
 	/** A response whose head was sent before it was known that the connection closes does not close it. */
 	#closeIfDone(): void {
 		if (this.#isClosing && this.#open.length === 0) {
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -285,6 +285,11 @@
 			return;
 		}
 
+		if (!await this.#connectionOf(req.socket).awaitTurn(res)) {
+			context.events.record({kind: 'skipped-input', where: 'caller', detail: `request ${caller.id} after the last response`});
+			return;
+		}
+
 		const handler = RequestHandler.create(context, {req: caller, body, arrival}, callerResponse);
 		if (this.#openResponses.has(res)) {
 			this.#openResponses.set(res, {callerResponse, handler});
