--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -7,7 +7,6 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
-import type {Duplex} from 'node:stream';
 import {CallerConnection} from './caller-connection.js';
 import {CallerResponse} from './caller-response.js';
 import type {Dialect} from './dialect.js';
@@ -52,13 +51,21 @@
 	readonly readDelay: ReadDelay;
 };
 
-/** An open request: its summary, or that it is still being read. */
-export type OpenRequest = RequestSummary | 'being read';
+/** An open request. One whose response is complete waits until its caller has read that. */
+export type OpenRequest
+	= | {readonly state: 'being read'; readonly requestId: string | undefined}
+		| ({readonly state: 'being handled' | 'being written'} & RequestSummary);
+
+type OpenResponse = {
+	readonly callerResponse: CallerResponse;
+	/** Undefined while the request cannot be told by its id. */
+	requestId: string | undefined;
+	/** Undefined while the request is read. */
+	handler: RequestHandler | undefined;
+};
 
 type Hold = {readonly released: Promise<void>; readonly release: () => void};
 
-type OpenResponse = {readonly callerResponse: CallerResponse; readonly handler: RequestHandler | undefined};
-
 export class CallerServer {
 	/** Starts to listen. Rejects if the address is taken, or if the signal aborts before it is free. */
 	static async create(options: CallerServerOptions, signal: AbortSignal): Promise<CallerServer> {
@@ -72,12 +79,9 @@
 	/** Holds the requests on `#heldConnections`; undefined unless new connections are added to them. */
 	#hold: Hold | undefined;
 	readonly #heldConnections = new WeakSet<Socket>();
-	/** Open responses; without a handler while the request is read. */
 	readonly #openResponses = new Map<ServerResponse, OpenResponse>();
 	/** Connections that have sent a request. */
 	readonly #connections = new Map<Socket, CallerConnection>();
-	/** Why this server closed connections. */
-	readonly #closeReasons = new WeakMap<Duplex, string>();
 	readonly #backlogProbe: BacklogProbe;
 	readonly #options: CallerServerOptions;
 
@@ -90,6 +94,7 @@
 		}, (req, res) => {
 			const connection = this.#connectionOf(req.socket);
 			if (!connection.take(res)) {
+				this.#recordNotTaken(req);
 				// Reading on shows when the caller leaves.
 				req.resume();
 				return;
@@ -97,9 +102,12 @@
 
 			const callerResponse = CallerResponse.create(res, {
 				closesAfter: isRequired => connection.closesAfter(res, isRequired ? 'must-close' : (this.#isDraining ? 'close' : 'keep')),
-				closeReason: () => this.#closeReasons.get(req.socket),
+				closeReason: () => connection.closeReason,
+				onCut() {
+					connection.noteClose('earlier response was cut off');
+				},
 			});
-			this.#openResponses.set(res, {callerResponse, handler: undefined});
+			this.#openResponses.set(res, {callerResponse, requestId: undefined, handler: undefined});
 			res.once('close', () => {
 				this.#openResponses.delete(res);
 			});
@@ -134,13 +142,17 @@
 			const detail = (err as NodeJS.ErrnoException).code ?? err.message;
 			options.context.events.record({kind: 'skipped-input', where: 'caller', detail});
 			if (!socket.writable) {
+				if (!socket.destroyed) {
+					connection.noteClose(`invalid input ${detail}`);
+				}
+
 				socket.destroy();
 				return;
 			}
 
 			// Responses in progress end first; other bytes would be taken as part of them.
 			if (!connection.closeAfterOpen()) {
-				this.#closeReasons.set(socket, `invalid input ${detail}`);
+				connection.noteClose(`invalid input ${detail}`);
 				connection.endWith('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
 			}
 		});
@@ -156,13 +168,18 @@
 		return this.#openResponses.size > 0 || this.#isAnyLingering;
 	}
 
+	/** Number of connections whose last response may not have arrived yet. */
+	get lingeringConnections(): number {
+		return [...this.#connections.values()].filter(({isLingering}) => isLingering).length;
+	}
+
 	get #isAnyLingering(): boolean {
-		return [...this.#connections.values()].some(({isLingering}) => isLingering);
+		return this.lingeringConnections > 0;
 	}
 
 	/** Describes the open requests, the oldest first, up to a limit. */
 	describeOpen(): readonly OpenRequest[] {
-		return [...this.#openResponses.values()].slice(0, MAX_DESCRIBED_REQUESTS).map(({handler}) => handler?.describe() ?? 'being read');
+		return [...this.#openResponses].slice(0, MAX_DESCRIBED_REQUESTS).map(([res, {requestId, handler}]) => (handler === undefined ? {state: 'being read', requestId} : {state: res.writableEnded ? 'being written' : 'being handled', ...handler.describe()}));
 	}
 
 	/** Applies the idle timeout of a configuration, in ms. */
@@ -226,7 +243,7 @@
 			bytes -= res.writableLength;
 			handler?.cutUnread();
 			// A response that waits for an earlier one has no socket of its own yet.
-			this.#closeReasons.set(res.req.socket, 'not-read');
+			this.#connectionOf(res.req.socket).noteClose('not-read');
 			res.req.socket.destroy();
 		}
 	}
@@ -237,7 +254,11 @@
 			return known;
 		}
 
-		const connection = CallerConnection.create(socket);
+		const connection = CallerConnection.create(socket, {
+			onUnsent: bytes => {
+				this.#options.context.events.record({kind: 'unsent', bytes});
+			},
+		});
 		this.#connections.set(socket, connection);
 		socket.once('close', () => {
 			this.#connections.delete(socket);
@@ -249,6 +270,18 @@
 		await listenWhenFree(this.#server, this.#options, {signal, backlog: LISTEN_BACKLOG});
 	}
 
+	/** Records a request that gets no answer, since its connection closes after an earlier response. */
+	#recordNotTaken({method = 'GET', url = '/', headers, rawHeaders}: IncomingMessage): void {
+		let requestId: string | undefined;
+		try {
+			requestId = this.#options.dialect.readRequest(method, url, headers, rawHeaders).id;
+		} catch {
+			// A request that cannot be decoded has no id.
+		}
+
+		this.#options.context.events.record({kind: 'not-taken', requestId, reason: 'connection closes'});
+	}
+
 	/** Ends a request that could not be decoded, and has been sent nowhere. */
 	#failInternally(callerResponse: CallerResponse, error: unknown): void {
 		this.#options.context.events.record({
@@ -265,13 +298,21 @@
 		const {context, dialect, readDelay} = this.#options;
 		const arrival = readDelay.arrivalOn(req.socket);
 		const caller = dialect.readRequest(req.method ?? 'GET', req.url ?? '/', req.headers, req.rawHeaders);
+		const open = this.#openResponses.get(res);
+		if (open !== undefined) {
+			open.requestId = caller.id;
+		}
+
 		const body = await readBody(req, context.config.current?.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES);
 		if (this.#heldConnections.has(req.socket)) {
 			await this.#hold?.released;
 		}
 
 		if (body === 'broken' || body === 'too-large') {
-			context.events.record({kind: 'skipped-input', where: 'caller', detail: `body ${body}, request ${caller.id}`});
+			const {disconnect} = callerResponse;
+			context.events.record({
+				kind: 'skipped-input', where: 'caller', detail: `body ${body}, request ${caller.id}`, requestId: caller.id, disconnect,
+			});
 		}
 
 		if (body === 'broken') {
@@ -286,13 +327,13 @@
 		}
 
 		if (!await this.#connectionOf(req.socket).awaitTurn(res)) {
-			context.events.record({kind: 'skipped-input', where: 'caller', detail: `request ${caller.id} after the last response`});
+			context.events.record({kind: 'not-taken', requestId: caller.id, reason: 'connection closes'});
 			return;
 		}
 
 		const handler = RequestHandler.create(context, {req: caller, body, arrival}, callerResponse);
-		if (this.#openResponses.has(res)) {
-			this.#openResponses.set(res, {callerResponse, handler});
+		if (open !== undefined) {
+			open.handler = handler;
 		}
 
 		await handler.run();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -185,7 +185,7 @@
 
 	/** Describes the requests that are open now, for the log. */
 	describeOpen(): LogFields {
-		return {openRequests: this.#callerServer?.openRequests ?? 0, requests: this.#callerServer?.describeOpen() ?? []};
+		return {openRequests: this.#callerServer?.openRequests ?? 0, requests: this.#callerServer?.describeOpen() ?? [], lingeringConnections: this.#callerServer?.lingeringConnections ?? 0};
 	}
 
 	/**
@@ -212,7 +212,10 @@
 		});
 		runStep(() => this.#callerServer?.startDraining());
 		this.#shutdown.answersDue.addEventListener('abort', () => {
-			runStep(() => this.#callerServer?.prepareForEnd());
+			// After the requests that listen too have answered.
+			setImmediate(() => {
+				runStep(() => this.#callerServer?.prepareForEnd());
+			});
 		}, {once: true});
 		await sleep(Math.min(this.#shutdown.deregistrationDelayMs, this.#shutdown.remainingMs('not-begun')));
 		runStep(() => this.#callerServer?.holdNew());
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -27,7 +27,7 @@
 } from '#dispatch';
 import {fingerprintOfCall, type CrashCause} from '#quarantine';
 import {
-	AttemptRace, type Arrival, type RaceEvent, type RaceStop, type RacingAttempt,
+	AttemptRace, type Arrival, type RaceEvent, type RacingAttempt,
 } from '#requests';
 
 /** State and services shared by all requests. */
@@ -153,6 +153,8 @@
 	#failureReason: RefusalReason | undefined;
 	/** Passes on the last failure that an endpoint answered with, if no other attempt delivers. */
 	#respondWithFailure: (() => FinalResult) | undefined;
+	/** The endpoint whose stream without a length has ended, and the last event that the caller had by then. */
+	#unframedEnd: {readonly endpoint: EndpointRecord; readonly lastEventId: number | undefined} | undefined;
 	#lastEndpoint = '';
 	/** The endpoint that was silent last. */
 	#lastSilent: EndpointRecord | undefined;
@@ -246,6 +248,8 @@
 		const race: Race = AttemptRace.create({
 			callerDisconnected: this.#callerResponse.disconnected,
 			answersDue: this.#context.shutdown.answersDue,
+			// Without a length, what was sent would look complete after a kill.
+			mayOutlast: () => this.#callerResponse.isStarted && !this.#callerResponse.isUnframedStream,
 			requestsEnded: this.#context.shutdown.requestsEnded,
 			timeoutMs: this.#callTimeMs(route),
 			onLateError: this.#context.events.errorListener('request'),
@@ -300,7 +304,7 @@
 			}
 
 			case 'stopped': {
-				return this.#handleStop(event.stop);
+				return event.stop === 'caller-left' ? {kind: 'done'} : this.#failTimedOut(event.stop);
 			}
 
 			case 'threw': {
@@ -318,22 +322,6 @@
 		}
 	}
 
-	#handleStop(stop: RaceStop): FinalResult {
-		switch (stop) {
-			case 'caller-left': {
-				return {kind: 'done'};
-			}
-
-			case 'deadline': {
-				return this.#failTimedOut();
-			}
-
-			case 'stopping': {
-				return this.#callerResponse.isStarted ? this.#cutOffResponse(undefined, 'stopping') : this.#failTimedOut();
-			}
-		}
-	}
-
 	#handleEnd(route: Route, race: Race, end: AttemptEnd): FinalResult | undefined {
 		switch (end.kind) {
 			case 'done': {
@@ -867,6 +855,14 @@
 				return {kind: 'no-retry'};
 			}
 
+			case 'unframed-end': {
+				this.#recordOutcome(endpoint.id, 'answered');
+				this.#unframedEnd = {endpoint, lastEventId: this.#progress.lastEventId};
+				return {
+					kind: 'failed', endpoint, outcome: 'unframed', detail: 'stream', finalReason: 'unknown-outcome', retry: repeatOf(route),
+				};
+			}
+
 			case 'broken': {
 				this.#recordOutcome(endpoint.id, 'broken');
 				await this.#checkCrash(endpoint, attempt);
@@ -897,14 +893,29 @@
 	/** Ends the request without an endpoint's answer. */
 	#fail(reason: RefusalReason, detail = ''): FinalResult {
 		if (this.#callerResponse.isStarted) {
-			return this.#cutOffResponse(undefined, reason);
+			return this.#endUnframed() ?? this.#cutOffResponse(undefined, reason);
 		}
 
 		// The refusal would promise that the request did not run, which is not known after an attempt with an unknown outcome.
 		return {kind: 'refuse', reason: (this.#mayHaveRun || this.#unsettledAttempts > 0) && refusalOf(reason).isNotRun ? 'unknown-outcome' : reason, detail: this.#failureDetail === '' ? detail : this.#failureDetail};
 	}
 
-	#failTimedOut(): FinalResult {
+	/** Ends a response as its endpoint did that sent no length, unless more was sent to the caller since. */
+	#endUnframed(): FinalResult | undefined {
+		if (this.#unframedEnd === undefined || !this.#callerResponse.isUnframedStream || this.#unframedEnd.lastEventId !== this.#progress.lastEventId) {
+			return undefined;
+		}
+
+		this.#callerResponse.endStream();
+		this.#recordResponse(this.#unframedEnd.endpoint, 200);
+		return {kind: 'done'};
+	}
+
+	#failTimedOut(stop: 'deadline' | 'stopping'): FinalResult {
+		if (stop === 'stopping' && this.#callerResponse.isStarted) {
+			return this.#endUnframed() ?? this.#cutOffResponse(undefined, 'stopping');
+		}
+
 		return this.#attempts === 0 ? this.#end('timeout-before-sent') : this.#end('timeout', `silent at ${this.#lastEndpoint}`);
 	}
 
@@ -924,7 +935,15 @@
 		const now = this.#monotonicNow();
 		const ageOf = (at: number | undefined) => at === undefined ? undefined : Math.round(now - at);
 		const stopAgeMs = this.#context.shutdown.ageMs;
-		return {sinceEventMs: ageOf(this.#progress.lastEventAt), sinceByteMs: ageOf(this.#progress.lastByteAt), sinceStopMs: stopAgeMs === undefined ? undefined : Math.round(stopAgeMs)};
+		const timeMs = this.#route === undefined ? undefined : callTimeOf(this.#route, this.#req);
+		const overdueFrom = ({monotonicMs}: Instant) => timeMs === undefined ? undefined : Math.round(now - monotonicMs - timeMs);
+		return {
+			sinceEventMs: ageOf(this.#progress.lastEventAt),
+			sinceByteMs: ageOf(this.#progress.lastByteAt),
+			sinceStopMs: stopAgeMs === undefined ? undefined : Math.round(stopAgeMs),
+			minOverdueMs: overdueFrom(this.#arrival.latest),
+			maxOverdueMs: overdueFrom(this.#arrival.earliest),
+		};
 	}
 
 	#refuse(reason: RefusalReason, detail: string): void {
--- a/packages/requests/src/attempt-race.ts
+++ b/packages/requests/src/attempt-race.ts
@@ -37,8 +37,9 @@
 export type AttemptRaceOptions = {
 	/** Without it, attempts go on after the caller has left. */
 	readonly callerDisconnected?: AbortSignal | undefined;
-	/** Aborts when a stopping entry has to answer; an attempt that has claimed the caller goes on. */
+	/** Aborts when a stopping entry has to answer. The race goes on if `mayOutlast` returns true then. */
 	readonly answersDue?: AbortSignal | undefined;
+	readonly mayOutlast?: (() => boolean) | undefined;
 	/** Aborts when the requests of a stopping entry have to end. */
 	readonly requestsEnded?: AbortSignal | undefined;
 	/** Time until the race stops, in ms; unlimited without it. */
@@ -60,10 +61,9 @@
 	#wake: (() => void) | undefined;
 	readonly #closing = new AbortController();
 	#deadlineTimer: NodeJS.Timeout | undefined;
-	#isClaimed = false;
 	readonly #onLateError: (error: unknown) => void;
 
-	private constructor({callerDisconnected, answersDue, requestsEnded, timeoutMs, onLateError}: AttemptRaceOptions) {
+	private constructor({callerDisconnected, answersDue, mayOutlast = () => false, requestsEnded, timeoutMs, onLateError}: AttemptRaceOptions) {
 		this.#onLateError = onLateError;
 		if (timeoutMs !== undefined) {
 			this.stopWithin(timeoutMs);
@@ -73,7 +73,7 @@
 			clearTimeout(this.#deadlineTimer);
 		}, {once: true});
 		this.#stopOn(requestsEnded, 'stopping');
-		this.#stopOn(answersDue, 'stopping', () => !this.#isClaimed);
+		this.#stopOn(answersDue, 'stopping', () => !mayOutlast());
 		this.#stopOn(callerDisconnected, 'caller-left');
 	}
 
@@ -159,7 +159,6 @@
 			return false;
 		}
 
-		this.#isClaimed = true;
 		winner.isSilent = false;
 		this.#abortOpen('lost', winner);
 		return true;
