--- a/packages/gateway/src/caller-response.ts
+++ b/packages/gateway/src/caller-response.ts
@@ -146,7 +146,7 @@
 	resetUnframed(): boolean {
 		const isCut = this.#isUnframed && !this.#res.writableFinished;
 		if (isCut) {
-			this.#options.reset();
+			this.destroy();
 		}
 
 		return isCut;
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -330,6 +330,11 @@
 			return;
 		}
 
+		if (!await this.#connectionOf(req.socket).awaitTurn(res)) {
+			context.events.record({kind: 'not-taken', requestId: caller.id, reason: 'connection closes'});
+			return;
+		}
+
 		const arrival = {...headArrival, latest: readAt};
 		const handler = RequestHandler.create(context, {req: caller, body, arrival}, callerResponse);
 		if (open !== undefined) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -214,7 +214,10 @@
 		});
 		runStep(() => this.#callerServer?.startDraining());
 		this.#shutdown.answersDue.addEventListener('abort', () => {
-			runStep(() => this.#callerServer?.prepareForEnd());
+			// After the requests that listen too have answered.
+			setImmediate(() => {
+				runStep(() => this.#callerServer?.prepareForEnd());
+			});
 		}, {once: true});
 		await sleep(Math.min(this.#shutdown.deregistrationDelayMs, this.#shutdown.remainingMs('not-begun')));
 		runStep(() => this.#callerServer?.holdNew());
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -261,6 +261,8 @@
 		const race: Race = AttemptRace.create({
 			callerDisconnected: this.#callerResponse.disconnected,
 			answersDue: this.#context.shutdown.answersDue,
+			// Without a length, what was sent would look complete after a kill.
+			mayOutlast: () => this.#callerResponse.isStarted && !this.#callerResponse.isUnframed,
 			requestsEnded: this.#context.shutdown.requestsEnded,
 			timeoutMs: this.#callTimeMs(route),
 			onLateError: this.#context.events.errorListener('request'),
