Send streams without a length in chunks, and end them as complete in time

Callers saw: a whole stream without a length reset because the attempt to continue it was answered 500, 404 or 204 (3 of 3); its end held until after their time while that attempt was silent (2605 of 2500 ms); an earlier answer on the same connection cut by the reset of a later one (3 of 10 events); 12 of 30 events that looked complete after a SIGKILL; a stream that went on without a length at another endpoint cut at its end; 26 of 30 unread responses without a length that looked complete. Cause: without chunks the end of a connection carries the end of the stream, and the entry's own ends, kills and resets too. Class: an end that has two meanings. Change: such a stream is sent in chunks. A proper end of its endpoint's is taken as complete if no other endpoint continues it within 1 s; a reset never is. Unread responses without a length are reset, and a queued one resets nothing.

--- a/packages/gateway/src/caller-response.ts
+++ b/packages/gateway/src/caller-response.ts
@@ -97,13 +97,9 @@
 		this.#res.end(body);
 	}
 
-	/** Sends the head of a stream; without a length if only the end of the connection delimits it. */
-	startStream(status: number, headers: readonly string[], framing: 'chunked' | 'unframed'): void {
-		if (framing === 'unframed') {
-			this.#res.useChunkedEncodingByDefault = false;
-		}
-
-		this.#writeHead(status, headers, framing === 'unframed' ? 'closed' : 'kept');
+	/** Sends the head of a stream. It is sent in chunks, so that a kill of this process does not make a part of it look complete. */
+	startStream(status: number, headers: readonly string[]): void {
+		this.#writeHead(status, headers, 'kept');
 		this.#res.flushHeaders();
 		// Callers of HTTP/1.0 know no chunks.
 		this.#isUnframed = !this.#res.chunkedEncoding;
@@ -135,7 +131,8 @@
 	destroy(): void {
 		this.#isDestroyed = true;
 		this.#options.onCut();
-		if (this.#isUnframed) {
+		// A response that waits for an earlier one has sent nothing.
+		if (this.#isUnframed && this.#res.socket !== null) {
 			this.#options.reset();
 		}
 
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -238,7 +238,7 @@
 	#cutUnread(): void {
 		const unread = [...this.#openResponses].filter(([res]) => res.writableEnded && res.writableLength > 0 && !res.req.socket.destroyed);
 		let bytes = unread.reduce((sum, [res]) => sum + res.writableLength, 0);
-		for (const [res, {handler}] of unread) {
+		for (const [res, {handler, callerResponse}] of unread) {
 			if (bytes <= MAX_UNREAD_BYTES) {
 				return;
 			}
@@ -246,8 +246,13 @@
 			bytes -= res.writableLength;
 			handler?.cutUnread();
 			// A response that waits for an earlier one has no socket of its own yet.
-			this.#connectionOf(res.req.socket).noteClose('not-read');
-			res.req.socket.destroy();
+			const connection = this.#connectionOf(res.req.socket);
+			connection.noteClose('not-read');
+			if (callerResponse.isUnframed) {
+				connection.reset();
+			} else {
+				res.req.socket.destroy();
+			}
 		}
 	}
 
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -86,6 +86,9 @@
 /** A stream that has begun ends this long after its caller's time, in ms: the caller disconnects first if it counts from when it sent its request. */
 const BEGUN_STREAM_MARGIN_MS = 100;
 
+/** Longest wait for another endpoint to continue a stream that has ended without a length, in ms: it may be complete. */
+const MAX_CONTINUATION_WAIT_MS = 1000;
+
 /** Interval at which an attempt beside silent ones is asked for again, in ms. */
 const ASK_AGAIN_INTERVAL_MS = 250;
 
@@ -166,8 +169,8 @@
 	#failureReason: RefusalReason | undefined;
 	/** Passes on the last failure that an endpoint answered with, if no other attempt delivers. */
 	#respondWithFailure: (() => FinalResult) | undefined;
-	/** The endpoint whose stream without a length has ended, and the last event that the caller had by then. */
-	#unframedEnd: {readonly endpoint: EndpointRecord; readonly lastEventId: number | undefined} | undefined;
+	/** The endpoint whose stream without a length has ended, until another one continues it. */
+	#unframedEnd: EndpointRecord | undefined;
 	#lastEndpoint = '';
 	/** The endpoint that was silent last. */
 	#lastSilent: EndpointRecord | undefined;
@@ -307,7 +310,8 @@
 	/** Claims the caller for an attempt. From then on the request ends only when its caller's time is surely over. */
 	#claim(route: Route, race: Race, racing: RacingAttempt<EndpointRecord>): boolean {
 		const isClaimed = racing.claim();
-		if (isClaimed && !this.#callerResponse.isStarted) {
+		if (isClaimed && (!this.#callerResponse.isStarted || this.#unframedEnd !== undefined)) {
+			this.#unframedEnd = undefined;
 			race.stopWithin(this.#callTimeMs(route) + BEGUN_STREAM_MARGIN_MS);
 		}
 
@@ -402,6 +406,9 @@
 		this.#failureReason = retry === 'no-endpoint' && failure.retryAfterS !== undefined ? 'endpoint-wait' : failure.finalReason;
 		if (retry === 'taken') {
 			this.#start(route, race, async attempt => this.#attempt(route, attempt));
+			if (this.#unframedEnd !== undefined) {
+				race.stopWithin(Math.min(MAX_CONTINUATION_WAIT_MS, this.#forwardedMs(route) - RESPONSE_MARGIN_MS));
+			}
 		} else {
 			this.#releaseRetry();
 		}
@@ -861,7 +868,7 @@
 				finalReason: 'unknown-outcome',
 				retry: retryReason === undefined ? 'none' : repeatOf(route),
 				// Once part of a stream has been sent to the caller, a failure can only close the connection.
-				respond: () => this.#callerResponse.isStarted ? this.#cutOffResponse(endpoint, `answer ${response.status} on resuming`) : this.#respond(endpoint, response),
+				respond: () => this.#callerResponse.isStarted ? this.#endUnframed() ?? this.#cutOffResponse(endpoint, `answer ${response.status} on resuming`) : this.#respond(endpoint, response),
 			};
 		}
 
@@ -934,7 +941,7 @@
 
 			case 'unframed-end': {
 				this.#recordOutcome(endpoint.id, 'answered');
-				this.#unframedEnd = {endpoint, lastEventId: this.#progress.lastEventId};
+				this.#unframedEnd = endpoint;
 				return {
 					kind: 'failed', endpoint, outcome: 'unframed', detail: 'stream', finalReason: 'unknown-outcome', retry: repeatOf(route),
 				};
@@ -983,14 +990,14 @@
 		return {kind: 'refuse', reason: (this.#mayHaveRun || this.#unsettledAttempts > 0) && refusalOf(reason).isNotRun ? 'unknown-outcome' : reason, detail: this.#failureDetail === '' ? detail : this.#failureDetail};
 	}
 
-	/** Ends a response as its endpoint did that sent no length, unless more was sent to the caller since. */
+	/** Ends a response as its endpoint did that sent no length. */
 	#endUnframed(): FinalResult | undefined {
-		if (this.#unframedEnd === undefined || !this.#callerResponse.isUnframed || this.#unframedEnd.lastEventId !== this.#progress.lastEventId) {
+		if (this.#unframedEnd === undefined) {
 			return undefined;
 		}
 
 		this.#callerResponse.endStream();
-		this.#recordResponse(this.#unframedEnd.endpoint, 200);
+		this.#recordResponse(this.#unframedEnd, 200);
 		return {kind: 'done'};
 	}
 
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -81,7 +81,7 @@
 			if (!isClaimed) {
 				finish({kind: 'aborted'});
 			} else if (!callerResponse.isStarted) {
-				callerResponse.startStream(200, head, isUnframed(res) ? 'unframed' : 'chunked');
+				callerResponse.startStream(200, head);
 			}
 
 			return isClaimed;
@@ -140,7 +140,10 @@
 			if (isUnframed(res)) {
 				// Closing follows the end, and does not decide how it ended.
 				res.off('close', onClose);
-				void finishUnframed();
+				finishUnframed().catch((error: unknown) => {
+					stopListening();
+					reject(error);
+				});
 				return;
 			}
 
