--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -138,6 +138,12 @@
 
 		const onEnd = () => {
 			if (isUnframed(res)) {
+				// The coding was to delimit it, and does not.
+				if (res.headers['transfer-encoding'] !== undefined) {
+					finish({kind: 'broken', reason: 'ended without framing'});
+					return;
+				}
+
 				// Closing follows the end, and does not decide how it ended.
 				res.off('close', onClose);
 				finishUnframed().catch((error: unknown) => {
