Test crowds that send large bodies and messages, one at a time

Callers: a crowd of clients ended a process in a trial; it ran out of memory. The runner plays tests of memory alone, after the others.

--- a/packages/harness/src/index.ts
+++ b/packages/harness/src/index.ts
@@ -12,3 +12,13 @@
 export {
 	createResponses, CuttingServer, forEachCut, sendCut, type ConnectionEnd, type Cut, type CuttingServerOptions, type HttpMessage,
 } from './cutting-server.js';
+export {runCrowd, type CallerScript} from './caller-crowd.js';
+export {
+	describeCrowd, playCrowd, type CrowdPlay, type CrowdResult,
+} from './crowd-play.js';
+export {
+	createBodyScripts, createMessageScripts, type BodyScriptOptions, type NamedScript,
+} from './crowd-scripts.js';
+export {requestStatus} from './request-status.js';
+export {ProcessUsage, type ProcessPeak} from './process-usage.js';
+export {collectGarbage} from './collect-garbage.js';
--- a/packages/harness/src/test-fleet.ts
+++ b/packages/harness/src/test-fleet.ts
@@ -84,9 +84,9 @@
 
 export class TestFleet {
 	/** Starts the platform stand-in. Engines, services and entries are added afterwards. */
-	static async create(options: {readonly platformArgs?: readonly string[]} = {}): Promise<TestFleet> {
+	static async create(options: {readonly platformArgs?: readonly string[]; readonly daemonSettings?: readonly string[]} = {}): Promise<TestFleet> {
 		const platform = await Child.create('platform', 'target/packages/standins-platform/src/bin.js', ['--port', '0', '--key', PLATFORM_KEY, ...options.platformArgs ?? []]);
-		return new TestFleet(platform);
+		return new TestFleet(platform, options.daemonSettings ?? []);
 	}
 
 	readonly platform: Child;
@@ -99,8 +99,12 @@
 	#endpointCount = 0;
 	#rulesFileCount = 0;
 
-	private constructor(platform: Child) {
+	/** Further lines of each daemon's section `[daemon]`. */
+	readonly #daemonSettings: readonly string[];
+
+	private constructor(platform: Child, daemonSettings: readonly string[]) {
 		this.platform = platform;
+		this.#daemonSettings = daemonSettings;
 		this.platformUrl = `http://${LOOPBACK}:${String(platform.readyMessage.listening)}`;
 	}
 
@@ -370,6 +374,7 @@
 			`zone = ${location.zone ?? 'colombo-a'}`,
 			`address = ${LOOPBACK}:0`,
 			'log-level = info',
+			...this.#daemonSettings,
 			'',
 			'[platform]',
 			`url = ${this.platformUrl}`,
--- a/packages/integration/src/fixtures.ts
+++ b/packages/integration/src/fixtures.ts
@@ -27,6 +27,8 @@
 	readonly groups?: ReadonlyArray<GroupOptions & {readonly members: number}>;
 	readonly rules?: string;
 	readonly platformArgs?: readonly string[];
+	/** Further lines of each daemon's section `[daemon]`. */
+	readonly daemonSettings?: readonly string[];
 };
 
 /** A running fleet and a caller in the clerks' workspace. */
@@ -34,7 +36,8 @@
 
 /** Starts a fleet and waits until every entry has load reports from every endpoint. */
 export async function startFleet(options: FleetOptions): Promise<RunningFleet> {
-	const fleet = await TestFleet.create(options.platformArgs === undefined ? {} : {platformArgs: options.platformArgs});
+	const {platformArgs = [], daemonSettings = []} = options;
+	const fleet = await TestFleet.create({platformArgs, daemonSettings});
 	await fleet.putRules(1, options.rules ?? baseRules());
 	await Promise.all(Array.from({length: options.entries ?? 1}, async () => fleet.addEntry()));
 	await Promise.all([
--- a/packages/requests/__tests__/unit/attempt-race.test.ts
+++ b/packages/requests/__tests__/unit/attempt-race.test.ts
@@ -1,6 +1,9 @@
 /** Attempts of one request that overlap: one winner, and what comes of the others is dropped. */
+import {getEventListeners} from 'node:events';
 import t from 'tap';
 import {AttemptRace, type RacingAttempt} from '../../src/attempt-race.js';
+import {sleep} from '#core';
+import {collectGarbage} from '#harness';
 
 type Pending = {readonly attempt: RacingAttempt<string>; readonly settle: (end: string) => void; readonly fail: (error: unknown) => void};
 
@@ -70,3 +73,46 @@
 		setup.race.close();
 	});
 }
+
+/** Ways in which races end. */
+const ends = ['closed', 'caller-left', 'stopping', 'deadline'] as const;
+
+const RACES = 3;
+
+for (const end of ends) {
+	void t.test(`signals keep no listener of races that have ended, with a garbage collection before: ${end}`, async t => {
+		const [caller, answers, stop] = [new AbortController(), new AbortController(), new AbortController()];
+		const races = Array.from({length: RACES}, () => AttemptRace.create<string, string>({
+			callerDisconnected: caller.signal, answersDue: answers.signal, requestsEnded: stop.signal, timeoutMs: end === 'deadline' ? 10 : 10_000, onLateError: () => undefined,
+		}));
+		// Whatever a WeakRef refers to is kept until the end of the job that created it.
+		await sleep(1);
+		collectGarbage();
+		switch (end) {
+			case 'closed': {
+				for (const race of races) {
+					race.close();
+				}
+
+				break;
+			}
+
+			case 'caller-left': {
+				caller.abort();
+				break;
+			}
+
+			case 'stopping': {
+				stop.abort();
+				break;
+			}
+
+			case 'deadline': {
+				await Promise.all(races.map(async race => race.next()));
+				break;
+			}
+		}
+
+		t.same([caller, answers, stop].map(({signal}) => getEventListeners(signal, 'abort').length), [0, 0, 0]);
+	});
+}
--- a/packages/tooling/src/find-tests.ts
+++ b/packages/tooling/src/find-tests.ts
@@ -8,3 +8,8 @@
 		.map(file => path.join(root, file))
 		.toSorted();
 }
+
+/** Whether a test measures the memory of a process, which other load would change. */
+export function isMemoryTest(file: string): boolean {
+	return /^(?:uncontrolled-|slow-readers|memory)/u.test(path.basename(file));
+}
