Remove the listeners of a race from the signals of the process

Callers: an entry grew by about the size of each answered request until it ran out of memory. Cause: AttemptRace left the removal of its listeners to the `signal` option of addEventListener. Node 20.20.2 keeps one weak removal per target: if several are pending when garbage is collected, the others are lost. Each listener that stayed on `answersDue` or `requestsEnded` held its RequestHandler and the body. No other listener of the sources uses the option. Fix: an explicit removeEventListener when the race closes.

--- a/packages/requests/src/attempt-race.ts
+++ b/packages/requests/src/attempt-race.ts
@@ -194,11 +194,17 @@
 			return;
 		}
 
-		signal.addEventListener('abort', () => {
+		const handleAbort = () => {
 			if (isStopping()) {
 				this.#stop(stop);
 			}
-		}, {once: true, signal: this.#closing.signal});
+		};
+
+		signal.addEventListener('abort', handleAbort, {once: true});
+		// Node forgets to remove a listener by its own `signal` option if several are pending when garbage is collected.
+		this.#closing.signal.addEventListener('abort', () => {
+			signal.removeEventListener('abort', handleAbort);
+		}, {once: true});
 	}
 
 	#stop(stop: RaceStop): void {
