Bound what connections to agents and entries hold

Callers: a crowd at the port of an agent or at that for other entries ended the process (fragments of one byte) or took it to 630 MB of 218. Cause: each connection could hold a message of 4 MiB that never ends, in up to 16,384 fragments; the number of connections, and answers that are not read, had no bound.

--- a/packages/connections/src/connection-bound.ts
+++ b/packages/connections/src/connection-bound.ts
@@ -9,6 +9,9 @@
 /** Descriptors of the machine if they are not known: those of the smallest known one. */
 export const DEFAULT_OPEN_FILES = 4100;
 
+/** Limits of a machine; undefined where they are not known, and those of the smallest known one apply. */
+export type MachineLimits = {readonly memoryBytes: number | undefined; readonly openFiles: number | undefined};
+
 /** Most connections of callers on a machine with this number of descriptors. */
 export function maxCallerConnections(openFiles: number = DEFAULT_OPEN_FILES): number {
 	return Math.floor(Math.max(openFiles - RESERVED_DESCRIPTORS, openFiles * MIN_CALLERS_SHARE));
--- a/packages/connections/src/index.ts
+++ b/packages/connections/src/index.ts
@@ -1,4 +1,4 @@
-/** Public index: connections to back ends, one request and its response on one of them, what responses may hold, and connections of callers and what their requests may hold. */
+/** Public index: connections to back ends, one request and its response on one of them, what responses may hold, connections of callers and what their requests may hold, and what messages of other machines may hold. */
 export {PiecePool} from './body-buffer.js';
 export {BufferBudget} from './buffer-budget.js';
 export {
@@ -8,8 +8,11 @@
 	CallerBudget, callerBudgetBytes, SWEEP_INTERVAL_MS, type ReadRefusal, type SweepLimits,
 } from './caller-budget.js';
 export {CallerConnection, type CallerConnectionOptions} from './caller-connection.js';
-export {ConnectionBound, maxCallerConnections, type ConnectionUse} from './connection-bound.js';
+export {
+	ConnectionBound, DEFAULT_OPEN_FILES, maxCallerConnections, type ConnectionUse, type MachineLimits,
+} from './connection-bound.js';
 export {ConnectionPool, type AcquiredConnection, type ConnectionTarget} from './connection-pool.js';
 export {
 	Exchange, isUnframed, readResponseBody, type BodyLimits, type ExchangeHead, type OutgoingRequest,
 } from './exchange.js';
+export {MessageBound, type MessageBoundOptions, type MessageCounter} from './message-bound.js';
--- /dev/null
+++ b/packages/connections/src/message-bound.ts
@@ -0,0 +1,109 @@
+/**
+ * Bounds what the connections to a server of messages hold: messages that are received or handled, and the connections themselves.
+ * Whoever connects may stop in the middle of a message.
+ */
+import type {Socket} from 'node:net';
+import {
+	CallerBudget, callerBudgetBytes, SWEEP_INTERVAL_MS, type CallerShare,
+} from './caller-budget.js';
+import {ConnectionBound, type ConnectionUse} from './connection-bound.js';
+import {guardCallback, type ErrorListener} from '#core';
+
+/** Memory that a chunk takes beside its bytes, in bytes; a message may arrive in many small ones. */
+const CHUNK_OVERHEAD_BYTES = 512;
+
+/** Longest time without a byte of a message that has begun, in ms; more than a pause of another machine. */
+const STALL_MS = 15_000;
+
+export type MessageBoundOptions = {
+	/** Memory of the machine, in bytes; undefined if it is not known. */
+	readonly memoryBytes: number | undefined;
+	readonly maxConnections: number;
+	/** Monotonic clock in ms. */
+	readonly now: () => number;
+	readonly onError: ErrorListener;
+};
+
+/** Counts the messages of one connection. */
+export type MessageCounter = {
+	/** Notes that a message is complete. Returns a function that gives back what it holds, called when it was handled. */
+	readonly completeMessage: () => () => void;
+};
+
+export class MessageBound {
+	/** @param signal - Ends the checks for connections that have stopped. */
+	static create(options: MessageBoundOptions, signal: AbortSignal): MessageBound {
+		return new MessageBound(options, signal);
+	}
+
+	readonly #budget: CallerBudget;
+	readonly #connections: ConnectionBound<Socket>;
+	readonly #uses = new Map<Socket, ConnectionUse>();
+	readonly #now: () => number;
+
+	private constructor({memoryBytes, maxConnections, now, onError}: MessageBoundOptions, signal: AbortSignal) {
+		this.#budget = CallerBudget.create(callerBudgetBytes(memoryBytes));
+		this.#connections = ConnectionBound.create(maxConnections, socket => this.#uses.get(socket) ?? 'idle');
+		this.#now = now;
+		const timer = setInterval(guardCallback(() => {
+			// Messages have no chunks of their own.
+			this.#budget.sweep({stallMs: STALL_MS, framingBytes: Infinity}, now());
+		}, onError), SWEEP_INTERVAL_MS);
+		signal.addEventListener('abort', () => {
+			clearInterval(timer);
+		}, {once: true});
+	}
+
+	/** Counts a connection, and closes the least useful one if there are too many. */
+	addConnection(socket: Socket): void {
+		const displaced = this.#connections.add(socket);
+		socket.once('close', () => {
+			this.#connections.remove(socket);
+			this.#uses.delete(socket);
+		});
+		displaced?.destroy();
+	}
+
+	/** Counts the bytes of messages on a connection, which is closed if they are too many. */
+	countMessages(socket: Socket): MessageCounter {
+		let share: CallerShare | undefined;
+		let bytes = 0;
+		// Before the listener that completes a message with this chunk.
+		socket.prependListener('data', (chunk: Uint8Array) => {
+			bytes += chunk.length + CHUNK_OVERHEAD_BYTES;
+			share ??= this.#openShare(socket, () => bytes);
+			share.resize(bytes, this.#now());
+		});
+		socket.once('close', () => {
+			share?.release();
+		});
+		return {
+			completeMessage: () => {
+				const completed = share;
+				share = undefined;
+				bytes = 0;
+				completed?.settle();
+				this.#connections.touch(socket);
+				this.#uses.set(socket, 'handling');
+				return () => {
+					completed?.release();
+					this.#uses.delete(socket);
+				};
+			},
+		};
+	}
+
+	#openShare(socket: Socket, bytes: () => number): CallerShare {
+		this.#uses.set(socket, 'reading');
+		return this.#budget.open({
+			headBytes: 0,
+			bodyBytes: bytes,
+			receivedBytes: bytes,
+			onRefused() {
+				socket.destroy();
+			},
+			// Reading is paused only for chunks, which are not counted.
+			onResumed: () => undefined,
+		}, this.#now());
+	}
+}
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -13,7 +13,7 @@
 import {RequestHandler, type RequestHandlerContext} from './request-handler.js';
 import {refusalOf, retryAfterSeconds} from './refusals.js';
 import {
-	CallerBudget, callerBudgetBytes, CallerConnection, ConnectionBound, maxCallerConnections, PiecePool, readCallerBody, SWEEP_INTERVAL_MS, type BodyEnd, type ConnectionUse,
+	CallerBudget, callerBudgetBytes, CallerConnection, ConnectionBound, maxCallerConnections, PiecePool, readCallerBody, SWEEP_INTERVAL_MS, type BodyEnd, type ConnectionUse, type MachineLimits,
 } from '#connections';
 import {guardCallback, listenWhenFree} from '#core';
 import {BacklogProbe, type ReadDelay} from '#requests';
@@ -57,7 +57,7 @@
 	readonly context: RequestHandlerContext;
 	readonly dialect: Dialect;
 	readonly readDelay: ReadDelay;
-	readonly machine: {readonly memoryBytes: number | undefined; readonly openFiles: number | undefined} | undefined;
+	readonly machine: MachineLimits | undefined;
 };
 
 /** An open request. One whose response is complete waits until its caller has read that. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,7 +18,7 @@
 import type {RequestHandlerContext} from './request-handler.js';
 import {Shutdown} from './shutdown.js';
 import {serveStatus, type StatusResponse} from './status-server.js';
-import {BufferBudget, ConnectionPool} from '#connections';
+import {BufferBudget, ConnectionPool, type MachineLimits} from '#connections';
 import {RetryBudget} from '#coordination';
 import {
 	guardCallback, sleep, startUnlessAborted, superviseTask, type Address,
@@ -59,7 +59,7 @@
 	/** Time from the stop signal until the process is killed, in ms. */
 	readonly graceMs: number;
 	/** Limits of the machine; those of the smallest known one where they are not given. */
-	readonly machine?: {readonly memoryBytes: number | undefined; readonly openFiles: number | undefined};
+	readonly machine?: MachineLimits;
 	/** Checks whether the group of an endpoint runs. */
 	readonly probeGroup: GroupProbe;
 	readonly dialect: Dialect;
@@ -285,7 +285,7 @@
 		if (options.peers !== undefined) {
 			const {host, port, seeds} = options.peers;
 			this.#peerExchange = await PeerExchange.create({
-				...state, address: `${host}:${port}`, host, port, seeds, load: this.#context.load, crashGuard: this.#context.crashGuard, limitGuard: this.#context.limitGuard, evacuations: this.#evacuations,
+				...state, address: `${host}:${port}`, host, port, seeds, load: this.#context.load, crashGuard: this.#context.crashGuard, limitGuard: this.#context.limitGuard, evacuations: this.#evacuations, machine: options.machine,
 			}, signal);
 		}
 
--- a/packages/gateway/src/peer-exchange.ts
+++ b/packages/gateway/src/peer-exchange.ts
@@ -10,6 +10,7 @@
 import {
 	enterEra, recordConfigChange, type EntryState, type PeerSchedule,
 } from './registry.js';
+import type {MachineLimits} from '#connections';
 import {
 	createDeferred, InputError, isRevision, sleep, superviseTask,
 } from '#core';
@@ -91,6 +92,7 @@
 	readonly limitGuard: LimitGuard;
 	/** Undefined if zones are not evacuated in this deployment. */
 	readonly evacuations: EvacuationGuard | undefined;
+	readonly machine?: MachineLimits | undefined;
 };
 
 /** Interval at which entries exchange their load, in ms: several times during a request. */
@@ -133,7 +135,7 @@
 	static async create(options: PeerExchangeOptions, signal: AbortSignal): Promise<PeerExchange> {
 		const exchange = new PeerExchange(options);
 		const onError = options.events.errorListener('peer-request');
-		await RequestServer.create(options.host, options.port, async request => exchange.#handleRequest(readMessage<PeerRequest>(request)), {signal, onError});
+		await RequestServer.create(options.host, options.port, async request => exchange.#handleRequest(readMessage<PeerRequest>(request)), {signal, onError, machine: options.machine});
 		void superviseTask(async () => exchange.#run(signal), options.events.errorListener('peers'), signal);
 		return exchange;
 	}
--- a/packages/rankagent/src/agent.ts
+++ b/packages/rankagent/src/agent.ts
@@ -4,6 +4,7 @@
 import type {AgentRequest, RankEngine} from './engine.js';
 import {MapDecoder} from './map-delta.js';
 import {createRemoteEngine} from './remote-engine.js';
+import type {MachineLimits} from '#connections';
 import {
 	describeError, ok, sleep, startUnlessAborted, superviseTask, type ErrorListener,
 } from '#core';
@@ -31,6 +32,8 @@
 	readonly localEngine: RankEngine;
 	readonly connectEngine: (address: string) => RankEngine;
 	readonly directory: GroupDirectory;
+	/** Limits of the machine; those of the smallest known one where they are not given. */
+	readonly machine?: MachineLimits;
 	readonly logger: Logger;
 	readonly metrics: Metrics;
 };
@@ -121,7 +124,7 @@
 
 	async #listen(): Promise<void> {
 		const {host, port} = this.#options;
-		await RequestServer.create(host, port, async request => this.#handleRequest(request as AgentRequest), {signal: this.#stop.signal, onError: this.#errorListener('request')});
+		await RequestServer.create(host, port, async request => this.#handleRequest(request as AgentRequest), {signal: this.#stop.signal, onError: this.#errorListener('request'), machine: this.#options.machine});
 	}
 
 	async #run(): Promise<void> {
