Keep the turns of the event loop short while large bodies are read

Callers: beside 300 callers with bodies of 1 MiB, ordinary requests got no answer within their deadline, and the process held 326 MB of 250 (333 with unread answers), of which 66 to 112 MB were received and not read. Cause: Node reads up to 2 MiB of each connection in a turn and accepts one connection. A turn took 55 ms and more at 40 readers (traced: 9 turns and 9 accepted connections in 500 ms), so connections waited in the backlog, and the kernel's buffers of all that were read late grew. After refusals, bodies were dropped at full speed, and connections held what was not read for 2 s. Fix: ReadPacer gives each turn 256 KiB of bodies beyond 8 KiB each; others wait, 16 at most, further ones are refused at once; dropped bodies are paced too; 16 connections are kept after the response to a request that was not read. Tried and replaced: a limit of bytes per 250 ms (unread up to 177 MB); waiting requests that were not removed at their end, which held their bodies (1019 MB).

--- a/packages/connections/src/caller-body.ts
+++ b/packages/connections/src/caller-body.ts
@@ -1,12 +1,15 @@
 /** Reads the body of a caller's request into memory that the budget for callers counts. */
 import type {IncomingMessage} from 'node:http';
 import {BodyBuffer, type PiecePool} from './body-buffer.js';
-import type {CallerBudget, ReadRefusal} from './caller-budget.js';
+import {FREE_BYTES_PER_REQUEST, type CallerBudget, type ReadRefusal} from './caller-budget.js';
+import type {ReadPacer} from './read-pacer.js';
 
 export type CallerBodyOptions = {
 	readonly budget: CallerBudget;
 	/** Memory for bodies, shared by the requests of a server. */
 	readonly pool: PiecePool;
+	/** Shared by the requests of a server. */
+	readonly pacer: ReadPacer;
 	/** Limit for the body, in bytes. */
 	readonly maxBytes: number;
 	/** Monotonic clock in ms. */
@@ -27,10 +30,11 @@
 
 /** Reads a body. What it is refused for is known from its head where possible; nothing is kept of a refused body. */
 export function readCallerBody(req: IncomingMessage, {
-	budget, pool, maxBytes, now,
+	budget, pool, pacer, maxBytes, now,
 }: CallerBodyOptions): CallerBody {
 	const announced = announcedBytes(req);
 	if (announced !== undefined && announced > maxBytes) {
+		dropBody(req, pacer);
 		return {ended: Promise.resolve({kind: 'too-large'}), release: () => undefined};
 	}
 
@@ -40,6 +44,8 @@
 		const buffer = BodyBuffer.create(announced, pool);
 		let bodyBytes = 0;
 		let isEnded = false;
+		let isPausedForChunks = false;
+		let isWaitingForTurn = false;
 		const share = budget.open({
 			headBytes: headBytes(req),
 			bodyBytes: () => bodyBytes,
@@ -48,7 +54,10 @@
 				end({kind: 'refused', reason});
 			},
 			onResumed() {
-				readOn(req);
+				isPausedForChunks = false;
+				if (!isWaitingForTurn) {
+					readOn(req);
+				}
 			},
 		}, now());
 		const end = (result: BodyEnd) => {
@@ -59,7 +68,14 @@
 			isEnded = true;
 			req.off('data', handleChunk);
 			buffer.clear();
+			pacer.remove(req);
+			isPausedForChunks = false;
+			isWaitingForTurn = false;
 			readOn(req);
+			if (result.kind !== 'complete') {
+				dropBody(req, pacer);
+			}
+
 			share.settle();
 			if (result.kind !== 'complete') {
 				share.release();
@@ -69,11 +85,24 @@
 		};
 
 		const handleChunk = (chunk: Uint8Array) => {
-			if (!share.takeChunk()) {
+			bodyBytes += chunk.length;
+			isPausedForChunks = !share.takeChunk() || isPausedForChunks;
+			const isTurnOver = bodyBytes > FREE_BYTES_PER_REQUEST && !pacer.take(req, chunk.length, () => {
+				isWaitingForTurn = false;
+				if (!isPausedForChunks) {
+					readOn(req);
+				}
+			});
+			if (isTurnOver && pacer.isFull) {
+				share.refuse('body-budget');
+				return;
+			}
+
+			isWaitingForTurn ||= isTurnOver;
+			if (isPausedForChunks || isWaitingForTurn) {
 				pauseReading(req);
 			}
 
-			bodyBytes += chunk.length;
 			if (bodyBytes > maxBytes) {
 				end({kind: 'too-large'});
 			} else {
@@ -101,6 +130,21 @@
 	return {ended, release};
 }
 
+/** Reads the rest of a body, which shows when the caller leaves, and keeps nothing of it. */
+export function dropBody(req: IncomingMessage, pacer: ReadPacer): void {
+	req.on('data', (chunk: Uint8Array) => {
+		const mayReadOn = pacer.take(req, chunk.length, () => {
+			readOn(req);
+		});
+		if (!mayReadOn) {
+			pauseReading(req);
+		}
+	});
+	req.once('close', () => {
+		pacer.remove(req);
+	});
+}
+
 /** Stops reading from the connection. A paused request would go on to buffer what was read already, each chunk by itself. */
 function pauseReading(req: IncomingMessage): void {
 	// Node reads on whenever the request asks for more.
--- a/packages/connections/src/caller-budget.ts
+++ b/packages/connections/src/caller-budget.ts
@@ -90,6 +90,8 @@
 	readonly resize: (bytes: number, now: number) => boolean;
 	/** Notes that a chunk of the body was read. Returns false if reading is to be paused until `onResumed`: many small chunks would leave no time for others. */
 	readonly takeChunk: () => boolean;
+	/** Refuses the request, unless it was read. */
+	readonly refuse: (reason: ReadRefusal) => void;
 	/** Notes that the request was read; it is not refused from then on. */
 	readonly settle: () => void;
 	/** Gives everything back. */
@@ -157,6 +159,11 @@
 		return {
 			resize: (bytes, at) => this.#resize(reading, bytes, at),
 			takeChunk: () => this.#takeChunk(reading),
+			refuse: reason => {
+				if (this.#reading.has(reading)) {
+					this.#refuse(reading, reason);
+				}
+			},
 			settle: () => {
 				this.#reading.delete(reading);
 				this.#paused.delete(reading);
--- a/packages/connections/src/caller-connection.ts
+++ b/packages/connections/src/caller-connection.ts
@@ -8,14 +8,41 @@
 /** Bytes that are read and dropped meanwhile. In chunks of one byte they take about 50 ms; a caller that reads while it sends needs none. */
 const MAX_DRAIN_BYTES = 256 * 1024;
 
+/** Connections that are kept after the response to a request that was not read, at most. */
+const MAX_UNDRAINED = 16;
+
 /** Interval at which they are counted, in ms. */
 const DRAIN_CHECK_MS = 20;
 
 export type CallerConnectionOptions = {
 	/** Called when the connection is closed with bytes that could not be written. */
 	readonly onUnsent: (bytes: number) => void;
+	/** Connections of the server whose last request was not read. */
+	readonly undrained: UndrainedConnections;
 };
 
+/** Connections whose callers may send on after their last response; the kernel may hold some hundred KiB of each. */
+export class UndrainedConnections {
+	static create(): UndrainedConnections {
+		return new UndrainedConnections();
+	}
+
+	/** The oldest first. */
+	readonly #sockets = new Set<Socket>();
+
+	/** Adds a connection; closes the oldest one if there are too many. */
+	add(socket: Socket): void {
+		this.#sockets.add(socket);
+		socket.once('close', () => {
+			this.#sockets.delete(socket);
+		});
+		const [oldest] = this.#sockets;
+		if (this.#sockets.size > MAX_UNDRAINED) {
+			oldest?.destroy();
+		}
+	}
+}
+
 export class CallerConnection {
 	static create(socket: Socket, options: CallerConnectionOptions): CallerConnection {
 		return new CallerConnection(socket, options);
@@ -31,6 +58,8 @@
 	/** Whether no more requests are taken, since it closes after those that are open. */
 	#isClosing = false;
 	#isLingering = false;
+	/** Whether a request was not read to its end. */
+	#isUndrained = false;
 	#closeReason: string | undefined;
 	readonly #options: CallerConnectionOptions;
 	readonly #socket: Socket;
@@ -76,6 +105,7 @@
 
 		this.#open.push(res);
 		res.once('close', () => {
+			this.#isUndrained ||= !res.req.complete;
 			this.#open = this.#open.filter(other => other !== res);
 			this.#wake();
 			this.#closeIfDone();
@@ -177,9 +207,14 @@
 		this.#isClosing = true;
 		this.#socket.end();
 		this.#socket.resume();
+		if (this.#isUndrained) {
+			this.#options.undrained.add(this.#socket);
+		}
+
 		const bytesBefore = this.#socket.bytesRead;
 		const drainTimer = setInterval(() => {
 			if (this.#socket.bytesRead - bytesBefore > MAX_DRAIN_BYTES) {
+				clearInterval(drainTimer);
 				this.#socket.pause();
 			}
 		}, DRAIN_CHECK_MS);
--- a/packages/connections/src/index.ts
+++ b/packages/connections/src/index.ts
@@ -1,13 +1,14 @@
 /** Public index: connections to back ends, one request and its response on one of them, what responses may hold, connections of callers and what their requests may hold, and what messages of other machines may hold. */
 export {PiecePool} from './body-buffer.js';
+export {BoundedConnections, type BoundedConnectionsOptions} from './bounded-connections.js';
 export {BufferBudget} from './buffer-budget.js';
 export {
-	readCallerBody, type BodyEnd, type CallerBody, type CallerBodyOptions,
+	dropBody, readCallerBody, type BodyEnd, type CallerBody, type CallerBodyOptions,
 } from './caller-body.js';
 export {
 	CallerBudget, callerBudgetBytes, SWEEP_INTERVAL_MS, type ReadRefusal, type SweepLimits,
 } from './caller-budget.js';
-export {CallerConnection, type CallerConnectionOptions} from './caller-connection.js';
+export {CallerConnection, UndrainedConnections, type CallerConnectionOptions} from './caller-connection.js';
 export {
 	ConnectionBound, DEFAULT_OPEN_FILES, maxCallerConnections, type ConnectionUse, type MachineLimits,
 } from './connection-bound.js';
@@ -16,3 +17,4 @@
 	Exchange, isUnframed, readResponseBody, type BodyLimits, type ExchangeHead, type OutgoingRequest,
 } from './exchange.js';
 export {MessageBound, type MessageBoundOptions, type MessageCounter} from './message-bound.js';
+export {ReadPacer} from './read-pacer.js';
--- /dev/null
+++ b/packages/connections/src/read-pacer.ts
@@ -0,0 +1,72 @@
+/**
+ * Keeps the turns of the event loop short while many callers send large bodies: it reads up to 2 MiB of each connection in a turn, and
+ * accepts one new connection.
+ */
+import type {IncomingMessage} from 'node:http';
+
+/** Bytes of bodies that are read in one turn before further connections wait for a later one. */
+const MAX_BYTES_PER_TURN = 256 * 1024;
+
+/** What a chunk counts beside its bytes: small ones take more time than their bytes. */
+const CHUNK_OVERHEAD_BYTES = 512;
+
+/** Connections that wait and are read on in one turn; each is read up to 64 KiB at least. */
+const RESUMED_PER_TURN = 4;
+
+/** Requests that wait at most; the kernel holds up to some MiB of each. A link of 1,000 Mbit/s is read without a wait. */
+const MAX_WAITING = 16;
+
+export class ReadPacer {
+	static create(): ReadPacer {
+		return new ReadPacer();
+	}
+
+	#bytes = 0;
+	/** What waits, and how it is resumed; those that have waited longest first. */
+	readonly #waiting = new Map<IncomingMessage, () => void>();
+	#isScheduled = false;
+
+	/** Whether no further request is to wait. */
+	get isFull(): boolean {
+		return this.#waiting.size >= MAX_WAITING;
+	}
+
+	/** Notes that a chunk of a request was read. Returns false if it is not to be read on until `resume` is called. */
+	take(req: IncomingMessage, bytes: number, resume: () => void): boolean {
+		this.#bytes += bytes + CHUNK_OVERHEAD_BYTES;
+		this.#scheduleTurn();
+		if (this.#bytes <= MAX_BYTES_PER_TURN) {
+			return true;
+		}
+
+		this.#waiting.set(req, resume);
+		return false;
+	}
+
+	/** Removes a request that has ended. */
+	remove(req: IncomingMessage): void {
+		this.#waiting.delete(req);
+	}
+
+	#scheduleTurn(): void {
+		if (!this.#isScheduled) {
+			this.#isScheduled = true;
+			setImmediate(() => {
+				this.#beginTurn();
+			});
+		}
+	}
+
+	#beginTurn(): void {
+		this.#isScheduled = false;
+		this.#bytes = 0;
+		for (const [req, resume] of [...this.#waiting].slice(0, RESUMED_PER_TURN)) {
+			this.#waiting.delete(req);
+			resume();
+		}
+
+		if (this.#waiting.size > 0) {
+			this.#scheduleTurn();
+		}
+	}
+}
--- a/packages/gateway/__tests__/unit/connection-end-log.test.ts
+++ b/packages/gateway/__tests__/unit/connection-end-log.test.ts
@@ -7,7 +7,7 @@
 import {
 	chunk, createRecordingLogger, FakeEndpoint, FakeRegistry, startGateway, streamHead, testConfig, testRoute, type Script,
 } from '../gateway-harness.js';
-import {CallerConnection} from '#connections';
+import {CallerConnection, UndrainedConnections} from '#connections';
 import {waitUntil} from '#harness';
 
 const TIMEOUT_MS = 600;
@@ -113,6 +113,7 @@
 	});
 	let unsentBytes = 0;
 	const connection = CallerConnection.create(socket, {
+		undrained: UndrainedConnections.create(),
 		onUnsent(bytes) {
 			unsentBytes = bytes;
 		},
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -13,7 +13,7 @@
 import {RequestHandler, type RequestHandlerContext} from './request-handler.js';
 import {refusalOf, retryAfterSeconds} from './refusals.js';
 import {
-	CallerBudget, callerBudgetBytes, CallerConnection, ConnectionBound, maxCallerConnections, PiecePool, readCallerBody, SWEEP_INTERVAL_MS, type BodyEnd, type ConnectionUse, type MachineLimits,
+	BoundedConnections, CallerBudget, callerBudgetBytes, CallerConnection, dropBody, maxCallerConnections, PiecePool, readCallerBody, ReadPacer, SWEEP_INTERVAL_MS, UndrainedConnections, type BodyEnd, type MachineLimits,
 } from '#connections';
 import {guardCallback, listenWhenFree} from '#core';
 import {BacklogProbe, type ReadDelay} from '#requests';
@@ -89,23 +89,29 @@
 	#hold: Hold | undefined;
 	readonly #heldConnections = new WeakSet<Socket>();
 	readonly #openResponses = new Map<ServerResponse, OpenResponse>();
+	readonly #undrained = UndrainedConnections.create();
 	/** Connections that have sent a request. */
 	readonly #connections = new Map<Socket, CallerConnection>();
 	readonly #backlogProbe: BacklogProbe;
 	readonly #budget: CallerBudget;
 	/** Memory for bodies. */
 	readonly #pool = PiecePool.create();
-	readonly #maxConnections: number;
-	readonly #bound: ConnectionBound<Socket>;
-	/** Requests that are open on each connection. */
-	readonly #openOn = new Map<Socket, Set<ServerResponse>>();
+	readonly #pacer = ReadPacer.create();
+	readonly #boundedConnections: BoundedConnections;
 	readonly #options: CallerServerOptions;
 
 	private constructor(options: CallerServerOptions) {
 		this.#options = options;
 		this.#budget = CallerBudget.create(callerBudgetBytes(options.machine?.memoryBytes));
-		this.#maxConnections = maxCallerConnections(options.machine?.openFiles);
-		this.#bound = ConnectionBound.create(this.#maxConnections, socket => this.#useOf(socket));
+		const maxConnections = maxCallerConnections(options.machine?.openFiles);
+		this.#boundedConnections = BoundedConnections.create({
+			max: maxConnections,
+			isHandled: res => this.#openResponses.get(res)?.handler !== undefined,
+			onDisplaced: (socket, use) => {
+				options.context.events.record({kind: 'connection-displaced', use, maxConnections});
+				this.#connectionOf(socket).noteClose('too many connections');
+			},
+		});
 		this.#backlogProbe = BacklogProbe.create({host: options.host, port: options.port}, options.readDelay, options.context.now);
 		// Node's own refusal of a request without a host would close the connection before the responses to later requests.
 		this.#server = createServer({
@@ -114,8 +120,7 @@
 			const connection = this.#connectionOf(req.socket);
 			if (!connection.take(res)) {
 				this.#recordNotTaken(req);
-				// Reading on shows when the caller leaves.
-				req.resume();
+				dropBody(req, this.#pacer);
 				return;
 			}
 
@@ -130,7 +135,7 @@
 				},
 			});
 			this.#openResponses.set(res, {callerResponse, requestId: undefined, handler: undefined});
-			this.#trackUse(req.socket, res);
+			this.#boundedConnections.addResponse(res);
 			res.once('close', () => {
 				this.#openResponses.delete(res);
 			});
@@ -140,7 +145,7 @@
 			if (req.httpVersion === '1.1' && req.headers.host === undefined) {
 				options.context.events.record({kind: 'skipped-input', where: 'caller', detail: 'no host'});
 				callerResponse.sendComplete(BAD_REQUEST_STATUS, [], Buffer.alloc(0), 'closed');
-				req.resume();
+				dropBody(req, this.#pacer);
 				return;
 			}
 
@@ -154,7 +159,7 @@
 				this.#heldConnections.add(socket);
 			}
 
-			this.#bindConnection(socket);
+			this.#boundedConnections.add(socket);
 		});
 		// The timeouts of the configuration apply; Node's own would abort requests that wait for a response.
 		this.#server.requestTimeout = 0;
@@ -285,6 +290,7 @@
 		}
 
 		const connection = CallerConnection.create(socket, {
+			undrained: this.#undrained,
 			onUnsent: bytes => {
 				this.#options.context.events.record({kind: 'unsent', bytes});
 			},
@@ -308,42 +314,6 @@
 		}, {once: true});
 	}
 
-	/** Closes another connection, or this one, if there are too many. */
-	#bindConnection(socket: Socket): void {
-		if (socket.destroyed) {
-			return;
-		}
-
-		const displaced = this.#bound.add(socket);
-		socket.once('close', () => {
-			this.#bound.remove(socket);
-		});
-		if (displaced !== undefined) {
-			this.#options.context.events.record({kind: 'connection-displaced', use: this.#useOf(displaced), maxConnections: this.#maxConnections});
-			this.#bound.remove(displaced);
-			this.#connectionOf(displaced).noteClose('too many connections');
-			displaced.destroy();
-		}
-	}
-
-	#trackUse(socket: Socket, res: ServerResponse): void {
-		const open = this.#openOn.get(socket) ?? new Set();
-		open.add(res);
-		this.#openOn.set(socket, open);
-		this.#bound.touch(socket);
-		res.once('close', () => {
-			open.delete(res);
-			if (open.size === 0) {
-				this.#openOn.delete(socket);
-			}
-		});
-	}
-
-	#useOf(socket: Socket): ConnectionUse {
-		const open = [...this.#openOn.get(socket) ?? []];
-		return open.length === 0 ? 'idle' : (open.some(res => this.#openResponses.get(res)?.handler !== undefined) ? 'handling' : 'reading');
-	}
-
 	/** Records a request that gets no answer, since its connection closes after an earlier response. */
 	#recordNotTaken({method = 'GET', url = '/', headers, rawHeaders}: IncomingMessage): void {
 		let requestId: string | undefined;
@@ -378,7 +348,7 @@
 		}
 
 		const reading = readCallerBody(req, {
-			budget: this.#budget, pool: this.#pool, maxBytes: context.config.current?.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES, now: () => context.now().monotonicMs,
+			budget: this.#budget, pool: this.#pool, pacer: this.#pacer, maxBytes: context.config.current?.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES, now: () => context.now().monotonicMs,
 		});
 		// The handler holds the body until then.
 		res.once('close', reading.release);
