Read the bodies of the own entry within its memory

Callers: crowds took the own entry to 18 GB (whole bodies, unread answers) and 6 GB (chunks of one byte), also without a key; ordinary requests got no answer. Cause: fastify buffered each body as received; only the size of one was bounded. The key was checked after the body had been read. Fix: the entry reads bodies as that of the platform does, with the same budget, pace and refusals (body-budget, body-timeout, body-framing), and bounds its connections; a body without a known key is not read. New settings memory-mb and max-open-files in [daemon].

--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -3,7 +3,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
-import {CallerConnection} from '#connections';
+import {BoundedConnections, CallerConnection, UndrainedConnections} from '#connections';
 import {type Logger} from '#telemetry';
 
 const MAX_HEADER_BYTES = 32 * 1024;
@@ -13,20 +13,42 @@
 
 export type RequestListener = (req: IncomingMessage, res: ServerResponse) => void;
 
+export type CallerServerOptions = {
+	/** Most connections of callers; a new one takes the place of the least useful one beyond that. */
+	readonly maxConnections: number;
+	/** Reads the body of a request that is not answered. */
+	readonly dropBody: (req: IncomingMessage) => void;
+};
+
 export class CallerServer {
-	static create(log: Logger): CallerServer {
-		return new CallerServer(log);
+	static create(log: Logger, options: CallerServerOptions): CallerServer {
+		return new CallerServer(log, options);
 	}
 
 	readonly #log: Logger;
+	readonly #options: CallerServerOptions;
 	readonly #open = new Set<ServerResponse>();
+	readonly #undrained = UndrainedConnections.create();
 	/** Connections that have sent a request. */
 	readonly #connections = new Map<Socket, CallerConnection>();
+	/** Responses to requests whose bodies are not read. */
+	readonly #unread = new WeakSet<ServerResponse>();
+	readonly #boundedConnections: BoundedConnections;
 	#server: Server | undefined;
 	#isDraining = false;
 
-	private constructor(log: Logger) {
+	private constructor(log: Logger, options: CallerServerOptions) {
+		const {maxConnections} = options;
 		this.#log = log;
+		this.#options = options;
+		this.#boundedConnections = BoundedConnections.create({
+			max: maxConnections,
+			isHandled: ({req}) => req.complete,
+			onDisplaced: (socket, use) => {
+				log.warn('connection displaced', {use, maxConnections});
+				this.#connectionOf(socket).noteClose('too many connections');
+			},
+		});
 	}
 
 	/** Number of responses that are not written out yet. */
@@ -45,12 +67,12 @@
 		const server = createServer({maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: IDLE_TIMEOUT_MS, requireHostHeader: false}, (req, res) => {
 			if (!this.#connectionOf(req.socket).take(res)) {
 				this.#log.info('request not taken', {reason: 'connection closes', method: req.method});
-				// Reading on shows when the caller leaves.
-				req.resume();
+				this.#options.dropBody(req);
 				return;
 			}
 
 			this.#open.add(res);
+			this.#boundedConnections.addResponse(res);
 			res.once('close', () => {
 				this.#open.delete(res);
 			});
@@ -58,6 +80,9 @@
 		});
 		// A request may wait for its response, or send its body, for as long as its deadline permits.
 		server.requestTimeout = 0;
+		server.on('connection', socket => {
+			this.#boundedConnections.add(socket);
+		});
 		this.#server = server;
 		return server;
 	}
@@ -83,9 +108,14 @@
 		}
 	}
 
-	/** Decides whether the connection closes after a response whose head is about to be sent. */
+	/** Decides whether the connection closes after a response whose head is about to be sent; it must if its request was not read. */
 	closesAfter(res: ServerResponse): boolean {
-		return this.#connectionOf(res.req.socket).closesAfter(res, this.#isDraining ? 'close' : 'keep');
+		return this.#connectionOf(res.req.socket).closesAfter(res, this.#unread.has(res) ? 'must-close' : (this.#isDraining ? 'close' : 'keep'));
+	}
+
+	/** Notes that the body of a request is not read: the connection closes after its response. */
+	leaveUnread(res: ServerResponse): void {
+		this.#unread.add(res);
 	}
 
 	/** Why this entry closed the connection of a response; undefined if it did not. */
@@ -126,6 +156,7 @@
 		}
 
 		const connection = CallerConnection.create(socket, {
+			undrained: this.#undrained,
 			onUnsent: bytes => {
 				this.#log.warn('bytes not sent', {bytes});
 			},
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -11,7 +11,7 @@
 import {AttemptTable} from './attempt-table.js';
 import {ClaimService} from './claim-service.js';
 import {
-	parseDeadline, forwardedHeaders, authenticateWorkspace, type Deadline,
+	parseDeadline, forwardedHeaders, authenticateWorkspace, isOperator, type Deadline,
 } from './caller.js';
 import {EndpointRouter} from './endpoint-router.js';
 import {FirstStart} from './first-start.js';
@@ -19,10 +19,12 @@
 import {ModelRequest, type RequestContext, type RequestResult} from './model-request.js';
 import {createRefusal, type Refusal} from './refusal.js';
 import {Quarantine} from './quarantine.js';
+import {RequestBodies} from './request-bodies.js';
 import {WorkspaceLimits} from './workspace-limits.js';
 import {AtMostOnceCall} from './at-most-once-call.js';
 import {ServiceRequest, toRequestResult, type ServiceCall} from './service-request.js';
 import {type Logger, type Metrics} from '#telemetry';
+import {maxCallerConnections} from '#connections';
 import {type EntrySettings} from '#settings';
 import {
 	isNonIdempotent, resolveModel, serviceRule, type WorkspaceRule,
@@ -44,6 +46,8 @@
 /** A draining entry stops waiting for outcomes to be recorded after this time, so that a platform outage does not delay its replacement. */
 const RECORD_TIMEOUT_MS = 30_000;
 
+const BYTES_PER_MB = 1024 * 1024;
+
 const inferencePaths = ['/v1/chat/completions', '/v1/completions'] as const;
 const SERVICE_METHODS = ['GET', 'POST', 'PUT', 'PATCH', 'DELETE'] as const;
 
@@ -70,6 +74,13 @@
 	readonly signal: AbortSignal;
 };
 
+const notReady = createRefusal('not-ready', 'not-run', 'the entry does not know the rules yet', 1);
+const unauthorized = createRefusal('unauthorized', 'not-run', 'the bearer key is missing or not known');
+
+function hasBody({headers}: IncomingMessage): boolean {
+	return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
+}
+
 /** The value of a header that is present exactly once. */
 function singleHeader(req: FastifyRequest, name: string): string | undefined {
 	const value = req.headers[name];
@@ -100,6 +111,9 @@
 
 	#backlogProbe: BacklogProbe | undefined;
 	readonly #arrivals = new WeakMap<IncomingMessage, Arrival>();
+	readonly #requestBodies: RequestBodies;
+	/** Bodies that were read. */
+	readonly #bodies = new WeakMap<IncomingMessage, Uint8Array>();
 	readonly #idle = new EventTarget();
 	#inProgress = 0;
 	#draining = false;
@@ -136,7 +150,19 @@
 		this.#claims = ClaimService.create({
 			peering, store: options.store, log: options.log, signal,
 		});
-		this.#server = CallerServer.create(this.#log);
+		this.#requestBodies = RequestBodies.create({
+			maxBytes: settings.maxBodyBytes,
+			memoryBytes: settings.memoryMb * BYTES_PER_MB,
+			onError: error => {
+				this.#log.error('check of request bodies failed', {err: error});
+			},
+		}, signal);
+		this.#server = CallerServer.create(this.#log, {
+			maxConnections: maxCallerConnections(settings.maxOpenFiles),
+			dropBody: req => {
+				this.#requestBodies.drop(req);
+			},
+		});
 		this.#http = fastify({
 			logger: false,
 			bodyLimit: settings.maxBodyBytes,
@@ -213,9 +239,16 @@
 	#registerRoutes(): void {
 		const http = this.#http;
 		http.removeAllContentTypeParsers();
-		http.addContentTypeParser('*', {parseAs: 'buffer'}, (_req, body, done) => {
-			done(null, body);
+		http.addHook('preParsing', async (req, res, payload) => {
+			const refusal = hasBody(req.raw) ? await this.#readBody(req, res) : undefined;
+			if (refusal !== undefined) {
+				this.#server.leaveUnread(res.raw);
+				this.#refuse(res, req.id, refusal);
+			}
+
+			return payload;
 		});
+		http.addContentTypeParser('*', async (req: FastifyRequest) => this.#bodies.get(req.raw) ?? new Uint8Array());
 		http.setErrorHandler((error, req, res) => {
 			const status = (error as {readonly statusCode?: number}).statusCode;
 			this.#refuse(res, req.id, status === 413
@@ -242,6 +275,23 @@
 		});
 	}
 
+	/** Reads the body of a request whose caller is known. Returns why it is not read; undefined if it was. */
+	async #readBody({raw, headers}: FastifyRequest, res: FastifyReply): Promise<Refusal | undefined> {
+		const {settings, peering: {kernel, readiness}} = this.#options;
+		if (!isOperator(settings.operatorKeyHash, headers) && (readiness.kind === 'waiting' || authenticateWorkspace(kernel.snapshot.ruleSet, headers) === undefined)) {
+			this.#requestBodies.drop(raw);
+			return readiness.kind === 'waiting' ? notReady : unauthorized;
+		}
+
+		const read = await this.#requestBodies.read(raw, res.raw);
+		if (read.kind === 'unread') {
+			return read.refusal;
+		}
+
+		this.#bodies.set(raw, read.body);
+		return undefined;
+	}
+
 	#refuse(res: FastifyReply, requestId: string, refusal: Refusal): void {
 		this.#options.metrics.count('refusals', refusal.reason);
 		void res.hijack();
@@ -268,13 +318,13 @@
 		this.#options.metrics.recordLatency('readDelay', arrival.readDelayMs);
 		const {ruleSet} = this.#options.peering.kernel.snapshot;
 		if (this.#options.peering.readiness.kind === 'waiting') {
-			this.#refuse(res, requestId, createRefusal('not-ready', 'not-run', 'the entry does not know the rules yet', 1));
+			this.#refuse(res, requestId, notReady);
 			return;
 		}
 
 		const workspace = authenticateWorkspace(ruleSet, req.headers);
 		if (workspace === undefined) {
-			this.#refuse(res, requestId, createRefusal('unauthorized', 'not-run', 'the bearer key is missing or not known'));
+			this.#refuse(res, requestId, unauthorized);
 			return;
 		}
 
@@ -447,7 +497,7 @@
 	async #listModels(req: FastifyRequest, res: FastifyReply): Promise<unknown> {
 		const {ruleSet} = this.#options.peering.kernel.snapshot;
 		if (authenticateWorkspace(ruleSet, req.headers) === undefined) {
-			this.#refuse(res, randomUUID(), createRefusal('unauthorized', 'not-run', 'the bearer key is missing or not known'));
+			this.#refuse(res, randomUUID(), unauthorized);
 			return;
 		}
 
--- a/packages/settings/src/format.ts
+++ b/packages/settings/src/format.ts
@@ -12,6 +12,8 @@
 			zone: settings.zone,
 			address: formatAddress(settings.address),
 			'log-level': settings.logLevel,
+			'memory-mb': settings.memoryMb,
+			'max-open-files': settings.maxOpenFiles,
 		},
 		...formatRole(settings),
 		platform: {url: settings.platform.url, ...formatKey('key', settings.platform.key)},
--- a/packages/settings/src/model.ts
+++ b/packages/settings/src/model.ts
@@ -20,6 +20,10 @@
 	/** Address at which peers connect to this process. */
 	readonly address: Address;
 	readonly logLevel: LogLevel;
+	/** Memory that this process may use, in MB. */
+	readonly memoryMb: number;
+	/** Descriptors that this process may open. */
+	readonly maxOpenFiles: number;
 	readonly platform: {
 		/** Origin without a trailing slash, for example `http://10.0.0.2:7000`. */
 		readonly url: string;
@@ -70,6 +74,9 @@
 /** Defaults of optional keys. */
 export const settingsDefaults = {
 	logLevel: 'info',
+	// Holds the prompts of 700 open streams of 300 KB each.
+	memoryMb: 1024,
+	maxOpenFiles: 4096,
 	// A body is sent between processes in a single message, whose limit is 1 MiB.
 	maxBodyBytes: 768 * 1024,
 	// Expert popularity drifts over hours and jumps within minutes; planning 60 layers takes about one second of processor time.
--- a/packages/settings/src/read.ts
+++ b/packages/settings/src/read.ts
@@ -16,6 +16,10 @@
 /** Maximum size of a settings file in bytes; a complete file has less than 2 KB. */
 export const maxSettingsBytes = 65_536;
 
+const MIN_MEMORY_MB = 200;
+const MAX_MEMORY_MB = 1024 * 1024;
+const MIN_OPEN_FILES = 256;
+const MAX_OPEN_FILES = 1024 * 1024;
 const MIN_BODY_BYTES = 1024;
 const MAX_BODY_BYTES = 768 * 1024;
 const MAX_SUBSET_SIZE = 2000;
@@ -26,7 +30,7 @@
 const modelKeys = ['group', 'group-size', 'ranks', 'models', 'rebalance-seconds'] as const;
 
 const knownKeys: KnownKeys = {
-	daemon: ['role', 'id', 'region', 'zone', 'address', 'log-level'],
+	daemon: ['role', 'id', 'region', 'zone', 'address', 'log-level', 'memory-mb', 'max-open-files'],
 	entry: ['listen', 'operator-key-sha256', 'max-body-bytes', 'subset-size'],
 	endpoint: ['kind', 'backend-url', ...modelKeys, 'service'],
 	platform: ['url', 'key-file', 'key'],
@@ -96,6 +100,8 @@
 		zone: daemon.required('zone', readName),
 		address: daemon.required('address', readPeerAddress),
 		logLevel: daemon.optional('log-level', readOneOf(logLevels), settingsDefaults.logLevel),
+		memoryMb: daemon.optional('memory-mb', readInteger(MIN_MEMORY_MB, MAX_MEMORY_MB), settingsDefaults.memoryMb),
+		maxOpenFiles: daemon.optional('max-open-files', readInteger(MIN_OPEN_FILES, MAX_OPEN_FILES), settingsDefaults.maxOpenFiles),
 	};
 	const platformDraft = {
 		url: platform.required('url', readOrigin),
