Let small bodies wait for their turn in any case

Callers: after a pause of the process, those whose bodies have more than 8 KiB could be refused with body-budget if more than 16 of them arrived together. Cause: the bound of waiting bodies held for bodies of any size. Fix: bodies of up to 128 KiB, announced or read so far, always wait.

--- a/packages/connections/src/caller-body.ts
+++ b/packages/connections/src/caller-body.ts
@@ -93,7 +93,7 @@
 					readOn(req);
 				}
 			});
-			if (isTurnOver && pacer.isFull) {
+			if (isTurnOver && pacer.isFullFor(announced ?? bodyBytes)) {
 				share.refuse('body-budget');
 				return;
 			}
--- a/packages/connections/src/read-pacer.ts
+++ b/packages/connections/src/read-pacer.ts
@@ -13,9 +13,12 @@
 /** Connections that wait and are read on in one turn; each is read up to 64 KiB at least. */
 const RESUMED_PER_TURN = 4;
 
-/** Requests that wait at most; the kernel holds up to some MiB of each. A link of 1,000 Mbit/s is read without a wait. */
+/** Requests that wait at most, unless their bodies are small; the kernel holds up to some MiB of each. A link of 1,000 Mbit/s is read without a wait. */
 const MAX_WAITING = 16;
 
+/** Size of a body up to which it waits in any case: after a pause of the process, those of many callers are read at once. */
+const FREE_TO_WAIT_BYTES = 128 * 1024;
+
 export class ReadPacer {
 	static create(): ReadPacer {
 		return new ReadPacer();
@@ -26,9 +29,9 @@
 	readonly #waiting = new Map<IncomingMessage, () => void>();
 	#isScheduled = false;
 
-	/** Whether no further request is to wait. */
-	get isFull(): boolean {
-		return this.#waiting.size >= MAX_WAITING;
+	/** Whether a body is to be refused instead of waiting; `bytes` is its announced length, or what was read of it. */
+	isFullFor(bytes: number): boolean {
+		return bytes > FREE_TO_WAIT_BYTES && this.#waiting.size >= MAX_WAITING;
 	}
 
 	/** Notes that a chunk of a request was read. Returns false if it is not to be read on until `resume` is called. */
