Keep connections whose messages are handled

What callers saw: an entry or agent with many connections could close one while a request on it was handled; the answer was lost. Cause: MessageBound kept one use for each connection and deleted it as soon as any message of it was handled, also while others were. Evidence: message-bound.test.ts, 2 of 8 cases fail without the change (one of two messages handled; one handled and part of another received). Fix: the messages that are handled are counted for each connection, and a message that is received is noted apart from them.

--- /dev/null
+++ b/packages/connections/__tests__/unit/message-bound.test.ts
@@ -0,0 +1,64 @@
+/** Which connection is closed when there are too many; guards against one whose messages are still handled. */
+import {Socket} from 'node:net';
+import t from 'tap';
+import {MessageBound} from '../../src/message-bound.js';
+
+const MEMORY_BYTES = 250 * 1024 * 1024;
+
+const onError = (error: unknown) => {
+	t.fail(String(error));
+};
+
+/** What happens on the connection that is used least recently, before there are too many. */
+type Step = 'chunk' | 'complete' | 'handled';
+
+const cases: ReadonlyArray<{readonly name: string; readonly steps: readonly Step[]; readonly isClosed: boolean}> = [
+	{name: 'without a message', steps: [], isClosed: true},
+	{name: 'part of a message', steps: ['chunk'], isClosed: false},
+	{name: 'a message that is handled', steps: ['chunk', 'complete'], isClosed: false},
+	{name: 'a message that was handled', steps: ['chunk', 'complete', 'handled'], isClosed: true},
+	{name: 'one of two messages was handled', steps: ['chunk', 'complete', 'chunk', 'complete', 'handled'], isClosed: false},
+	{name: 'a message that is handled and part of another one', steps: ['chunk', 'complete', 'chunk'], isClosed: false},
+	{name: 'a message that was handled and part of another one', steps: ['chunk', 'complete', 'chunk', 'handled'], isClosed: false},
+	{name: 'both messages were handled', steps: ['chunk', 'complete', 'chunk', 'complete', 'handled', 'handled'], isClosed: true},
+];
+
+for (const {name, steps, isClosed} of cases) {
+	void t.test(name, t => {
+		const stop = new AbortController();
+		t.teardown(() => {
+			stop.abort();
+		});
+		const bound = MessageBound.create({
+			memoryBytes: MEMORY_BYTES, maxConnections: 2, now: () => 0, onError,
+		}, stop.signal);
+		const [used, idle, added] = [new Socket(), new Socket(), new Socket()];
+		bound.addConnection(used);
+		const messages = bound.countMessages(used);
+		const handled: Array<() => void> = [];
+		for (const step of steps) {
+			switch (step) {
+				case 'chunk': {
+					used.emit('data', new Uint8Array(100));
+					break;
+				}
+
+				case 'complete': {
+					handled.push(messages.completeMessage());
+					break;
+				}
+
+				case 'handled': {
+					handled.shift()?.();
+				}
+			}
+		}
+
+		bound.addConnection(idle);
+		bound.addConnection(added);
+		t.equal(used.destroyed, isClosed);
+		t.equal(idle.destroyed, !isClosed);
+		t.notOk(added.destroyed);
+		t.end();
+	});
+}
--- a/packages/connections/src/message-bound.ts
+++ b/packages/connections/src/message-bound.ts
@@ -38,12 +38,15 @@
 
 	readonly #budget: CallerBudget;
 	readonly #connections: ConnectionBound<Socket>;
-	readonly #uses = new Map<Socket, ConnectionUse>();
+	/** Connections whose current message is incomplete. */
+	readonly #reading = new Set<Socket>();
+	/** Number of messages that are handled, by connection. */
+	readonly #handled = new Map<Socket, number>();
 	readonly #now: () => number;
 
 	private constructor({memoryBytes, maxConnections, now, onError}: MessageBoundOptions, signal: AbortSignal) {
 		this.#budget = CallerBudget.create(callerBudgetBytes(memoryBytes));
-		this.#connections = ConnectionBound.create(maxConnections, socket => this.#uses.get(socket) ?? 'idle');
+		this.#connections = ConnectionBound.create(maxConnections, socket => this.#useOf(socket));
 		this.#now = now;
 		const timer = setInterval(guardCallback(() => {
 			// Messages have no chunks of their own.
@@ -59,7 +62,8 @@
 		const displaced = this.#connections.add(socket);
 		socket.once('close', () => {
 			this.#connections.remove(socket);
-			this.#uses.delete(socket);
+			this.#reading.delete(socket);
+			this.#handled.delete(socket);
 		});
 		displaced?.destroy();
 	}
@@ -84,17 +88,18 @@
 				bytes = 0;
 				completed?.settle();
 				this.#connections.touch(socket);
-				this.#uses.set(socket, 'handling');
+				this.#reading.delete(socket);
+				this.#addHandled(socket, 1);
 				return () => {
 					completed?.release();
-					this.#uses.delete(socket);
+					this.#addHandled(socket, -1);
 				};
 			},
 		};
 	}
 
 	#openShare(socket: Socket, bytes: () => number): CallerShare {
-		this.#uses.set(socket, 'reading');
+		this.#reading.add(socket);
 		return this.#budget.open({
 			headBytes: 0,
 			bodyBytes: bytes,
@@ -106,4 +111,17 @@
 			onResumed: () => undefined,
 		}, this.#now());
 	}
+
+	#useOf(socket: Socket): ConnectionUse {
+		return this.#handled.has(socket) ? 'handling' : (this.#reading.has(socket) ? 'reading' : 'idle');
+	}
+
+	#addHandled(socket: Socket, change: 1 | -1): void {
+		const messages = (this.#handled.get(socket) ?? 0) + change;
+		if (messages > 0 && !socket.destroyed) {
+			this.#handled.set(socket, messages);
+		} else {
+			this.#handled.delete(socket);
+		}
+	}
 }
