Bound the connections that are kept while their callers send on

Cause: the bound of 16 connections did not act. Node ends a connection before its last response is closed, so it was not known yet that the request was not read to its end; the connection was never counted, and stayed for 2 s with what the kernel had received for it. Connections that were counted could stay, too: several in one turn closed the same oldest one. Requests that are not taken, and bytes after the last response, did not count at all. Fix: a connection is counted when its response closes, a request is not taken, or bytes arrive after the last response, and the oldest leaves the set at once.

--- a/packages/connections/src/caller-connection.ts
+++ b/packages/connections/src/caller-connection.ts
@@ -8,7 +8,7 @@
 /** Bytes that are read and dropped meanwhile. In chunks of one byte they take about 50 ms; a caller that reads while it sends needs none. */
 const MAX_DRAIN_BYTES = 256 * 1024;
 
-/** Connections that are kept after the response to a request that was not read, at most. */
+/** Connections that are kept after their last response while their callers may send on, at most. */
 const MAX_UNDRAINED = 16;
 
 /** Interval at which they are counted, in ms. */
@@ -17,7 +17,7 @@
 export type CallerConnectionOptions = {
 	/** Called when the connection is closed with bytes that could not be written. */
 	readonly onUnsent: (bytes: number) => void;
-	/** Connections of the server whose last request was not read. */
+	/** Connections of the server whose callers may send on after their last response. */
 	readonly undrained: UndrainedConnections;
 };
 
@@ -32,13 +32,19 @@
 
 	/** Adds a connection; closes the oldest one if there are too many. */
 	add(socket: Socket): void {
+		if (socket.destroyed || this.#sockets.has(socket)) {
+			return;
+		}
+
 		this.#sockets.add(socket);
 		socket.once('close', () => {
 			this.#sockets.delete(socket);
 		});
 		const [oldest] = this.#sockets;
-		if (this.#sockets.size > MAX_UNDRAINED) {
-			oldest?.destroy();
+		if (oldest !== undefined && this.#sockets.size > MAX_UNDRAINED) {
+			// Its 'close' follows only in a later turn.
+			this.#sockets.delete(oldest);
+			oldest.destroy();
 		}
 	}
 }
@@ -58,7 +64,7 @@
 	/** Whether no more requests are taken, since it closes after those that are open. */
 	#isClosing = false;
 	#isLingering = false;
-	/** Whether a request was not read to its end. */
+	/** Whether a request was not read to its end, or the caller sends on after the last one. */
 	#isUndrained = false;
 	#closeReason: string | undefined;
 	readonly #options: CallerConnectionOptions;
@@ -97,15 +103,19 @@
 		this.#closeReason ??= reason;
 	}
 
-	/** Takes a request. Returns false, and changes nothing, if the connection closes before its response. */
+	/** Takes a request. Returns false if the connection closes before its response. */
 	take(res: ServerResponse): boolean {
 		if (this.#isClosing) {
+			this.#isUndrained = true;
+			this.#countUndrained();
 			return false;
 		}
 
 		this.#open.push(res);
 		res.once('close', () => {
 			this.#isUndrained ||= !res.req.complete;
+			// Node ends the connection before the response is closed.
+			this.#countUndrained();
 			this.#open = this.#open.filter(other => other !== res);
 			this.#wake();
 			this.#closeIfDone();
@@ -197,6 +207,12 @@
 		}
 	}
 
+	#countUndrained(): void {
+		if (this.#isLingering && this.#isUndrained) {
+			this.#options.undrained.add(this.#socket);
+		}
+	}
+
 	/** Reads on for a while: if a connection is closed with unread bytes, or is sent more, the kernel drops what the caller has not received. */
 	#linger(): void {
 		if (this.#isLingering) {
@@ -207,13 +223,16 @@
 		this.#isClosing = true;
 		this.#socket.end();
 		this.#socket.resume();
-		if (this.#isUndrained) {
-			this.#options.undrained.add(this.#socket);
-		}
-
+		this.#countUndrained();
 		const bytesBefore = this.#socket.bytesRead;
 		const drainTimer = setInterval(() => {
-			if (this.#socket.bytesRead - bytesBefore > MAX_DRAIN_BYTES) {
+			const drainedBytes = this.#socket.bytesRead - bytesBefore;
+			if (drainedBytes > 0) {
+				this.#isUndrained = true;
+				this.#countUndrained();
+			}
+
+			if (drainedBytes > MAX_DRAIN_BYTES) {
 				clearInterval(drainTimer);
 				this.#socket.pause();
 			}
