Close the connection after a large body while others wait to be read

Cause: the kernel raises the receive buffer of a connection with what is read from it. Fix: after a body over 128 KiB the response closes the connection if other connections wait to be read at that moment. The caller's next connection begins with a small buffer. A request that is read without others keeps its connection.

--- a/packages/connections/__tests__/unit/caller-connection.test.ts
+++ b/packages/connections/__tests__/unit/caller-connection.test.ts
@@ -28,7 +28,7 @@
 			return;
 		}
 
-		connection.closesAfter(res, 'must-close');
+		connection.closesAfter(res, {kind: 'must-close', reason: 'test'});
 		res.writeHead(413, {Connection: 'close', 'Content-Length': 0}).end();
 	});
 	server.on('connection', (socket: Socket) => {
--- a/packages/connections/__tests__/unit/read-pacer.test.ts
+++ b/packages/connections/__tests__/unit/read-pacer.test.ts
@@ -53,3 +53,27 @@
 	const [req] = createRequests(1);
 	t.notOk(Array.from({length: 1000}, () => pacer.take(req!, 1, () => undefined)).every(Boolean));
 });
+
+const lastCases: ReadonlyArray<{readonly name: string; readonly others: number; readonly bytes: number; readonly isLast: boolean}> = [
+	{
+		name: 'a large body alone', others: 0, bytes: 10 * CHUNK_BYTES, isLast: false,
+	},
+	{
+		name: 'a large body while others wait', others: 10, bytes: 10 * CHUNK_BYTES, isLast: true,
+	},
+	{
+		name: 'a small body while others wait', others: 10, bytes: CHUNK_BYTES, isLast: false,
+	},
+];
+
+for (const {name, others, bytes, isLast} of lastCases) {
+	void t.test(`whether the connection closes: ${name}`, t => {
+		const pacer = ReadPacer.create();
+		for (const req of createRequests(others)) {
+			pacer.take(req, CHUNK_BYTES, () => undefined);
+		}
+
+		t.equal(pacer.closesAfter(bytes), isLast);
+		t.end();
+	});
+}
--- a/packages/connections/src/caller-body.ts
+++ b/packages/connections/src/caller-body.ts
@@ -18,7 +18,7 @@
 
 /** How the reading of a body ended; `broken` if its connection closed before the end. */
 export type BodyEnd
-	= | {readonly kind: 'complete'; readonly body: Uint8Array}
+	= | {readonly kind: 'complete'; readonly body: Uint8Array; /** Whether the connection is to be closed after the response. */ readonly isLast: boolean}
 		| {readonly kind: 'broken' | 'too-large'}
 		| {readonly kind: 'refused'; readonly reason: ReadRefusal};
 
@@ -118,7 +118,7 @@
 
 		req.on('data', handleChunk);
 		req.once('end', () => {
-			end({kind: 'complete', body: buffer.take()});
+			end({kind: 'complete', body: buffer.take(), isLast: pacer.closesAfter(bodyBytes)});
 		});
 		req.on('error', () => {
 			// 'close' follows and settles the promise.
--- a/packages/connections/src/caller-connection.ts
+++ b/packages/connections/src/caller-connection.ts
@@ -14,6 +14,11 @@
 /** Interval at which they are counted, in ms. */
 const DRAIN_CHECK_MS = 20;
 
+/** Whether a connection closes after a response: if no later request was taken, or in any case, for a reason. */
+export type CloseWish
+	= | {readonly kind: 'keep' | 'close'}
+		| {readonly kind: 'must-close'; readonly reason: string};
+
 export type CallerConnectionOptions = {
 	/** Called when the connection is closed with bytes that could not be written. */
 	readonly onUnsent: (bytes: number) => void;
@@ -141,23 +146,30 @@
 	 * Decides whether the connection closes after a response whose head is about to be sent; requests that were taken after it are
 	 * answered first unless it must.
 	 */
-	closesAfter(res: ServerResponse, wish: 'keep' | 'close' | 'must-close'): boolean {
+	closesAfter(res: ServerResponse, wish: CloseWish): boolean {
 		const isLast = this.#open.at(-1) === res;
-		if (wish === 'must-close' || (wish === 'close' && isLast)) {
-			this.#isClosing = true;
-		}
+		switch (wish.kind) {
+			case 'keep': {
+				break;
+			}
 
-		if (wish === 'must-close' && !isLast) {
-			this.noteClose('response without a length');
-		}
+			case 'close': {
+				this.#isClosing ||= isLast;
+				break;
+			}
 
-		if (wish === 'must-close') {
-			this.#last = res;
+			case 'must-close': {
+				this.#isClosing = true;
+				this.#last = res;
+				if (!isLast) {
+					this.noteClose(wish.reason);
+				}
+			}
 		}
 
 		this.#begun.add(res);
 		this.#wake();
-		return wish === 'must-close' || (this.#isClosing && isLast);
+		return this.#last === res || (this.#isClosing && isLast);
 	}
 
 	/** Takes no more requests after bytes that are none, and closes after the responses in progress. Returns false if there are none. */
--- a/packages/connections/src/index.ts
+++ b/packages/connections/src/index.ts
@@ -8,7 +8,9 @@
 export {
 	CallerBudget, callerBudgetBytes, SWEEP_INTERVAL_MS, type ReadRefusal, type SweepLimits,
 } from './caller-budget.js';
-export {CallerConnection, UndrainedConnections, type CallerConnectionOptions} from './caller-connection.js';
+export {
+	CallerConnection, UndrainedConnections, type CallerConnectionOptions, type CloseWish,
+} from './caller-connection.js';
 export {
 	ConnectionBound, DEFAULT_OPEN_FILES, maxCallerConnections, type ConnectionUse, type MachineLimits,
 } from './connection-bound.js';
--- a/packages/connections/src/read-pacer.ts
+++ b/packages/connections/src/read-pacer.ts
@@ -3,6 +3,7 @@
  * accepts one new connection.
  */
 import type {IncomingMessage} from 'node:http';
+import type {Socket} from 'node:net';
 
 /** Bytes of bodies that are read in one turn before further connections wait for a later one. */
 const MAX_BYTES_PER_TURN = 256 * 1024;
@@ -19,6 +20,9 @@
 /** Size of a body up to which it waits in any case: after a pause of the process, those of many callers are read at once. */
 const FREE_TO_WAIT_BYTES = 128 * 1024;
 
+/** What is read: the body of a request, or the messages of a connection. */
+export type PacedSource = IncomingMessage | Socket;
+
 export class ReadPacer {
 	static create(): ReadPacer {
 		return new ReadPacer();
@@ -26,29 +30,34 @@
 
 	#bytes = 0;
 	/** What waits, and how it is resumed; those that have waited longest first. */
-	readonly #waiting = new Map<IncomingMessage, () => void>();
+	readonly #waiting = new Map<PacedSource, () => void>();
 	#isScheduled = false;
 
-	/** Whether a body is to be refused instead of waiting; `bytes` is its announced length, or what was read of it. */
+	/** Whether a body or message is to be refused instead of waiting; `bytes` is its announced length, or what was read of it. */
 	isFullFor(bytes: number): boolean {
 		return bytes > FREE_TO_WAIT_BYTES && this.#waiting.size >= MAX_WAITING;
 	}
 
-	/** Notes that a chunk of a request was read. Returns false if it is not to be read on until `resume` is called. */
-	take(req: IncomingMessage, bytes: number, resume: () => void): boolean {
+	/** Whether the connection of a body that was read is to be closed: while others wait, the kernel would hold ever more of the next ones. */
+	closesAfter(bytes: number): boolean {
+		return bytes > FREE_TO_WAIT_BYTES && this.#waiting.size > 0;
+	}
+
+	/** Notes that a chunk was read. Returns false if it is not to be read on until `resume` is called. */
+	take(source: PacedSource, bytes: number, resume: () => void): boolean {
 		this.#bytes += bytes + CHUNK_OVERHEAD_BYTES;
 		this.#scheduleTurn();
 		if (this.#bytes <= MAX_BYTES_PER_TURN) {
 			return true;
 		}
 
-		this.#waiting.set(req, resume);
+		this.#waiting.set(source, resume);
 		return false;
 	}
 
-	/** Removes a request that has ended. */
-	remove(req: IncomingMessage): void {
-		this.#waiting.delete(req);
+	/** Removes what has ended. */
+	remove(source: PacedSource): void {
+		this.#waiting.delete(source);
 	}
 
 	#scheduleTurn(): void {
@@ -63,8 +72,8 @@
 	#beginTurn(): void {
 		this.#isScheduled = false;
 		this.#bytes = 0;
-		for (const [req, resume] of [...this.#waiting].slice(0, RESUMED_PER_TURN)) {
-			this.#waiting.delete(req);
+		for (const [source, resume] of [...this.#waiting].slice(0, RESUMED_PER_TURN)) {
+			this.#waiting.delete(source);
 			resume();
 		}
 
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -31,8 +31,8 @@
 	readonly #undrained = UndrainedConnections.create();
 	/** Connections that have sent a request. */
 	readonly #connections = new Map<Socket, CallerConnection>();
-	/** Responses to requests whose bodies are not read. */
-	readonly #unread = new WeakSet<ServerResponse>();
+	/** Responses after which their connections close, and why. */
+	readonly #last = new WeakMap<ServerResponse, string>();
 	readonly #boundedConnections: BoundedConnections;
 	#server: Server | undefined;
 	#isDraining = false;
@@ -108,14 +108,15 @@
 		}
 	}
 
-	/** Decides whether the connection closes after a response whose head is about to be sent; it must if its request was not read. */
+	/** Decides whether the connection closes after a response whose head is about to be sent; it must after some. */
 	closesAfter(res: ServerResponse): boolean {
-		return this.#connectionOf(res.req.socket).closesAfter(res, this.#unread.has(res) ? 'must-close' : (this.#isDraining ? 'close' : 'keep'));
+		const reason = this.#last.get(res);
+		return this.#connectionOf(res.req.socket).closesAfter(res, reason === undefined ? {kind: this.#isDraining ? 'close' : 'keep'} : {kind: 'must-close', reason});
 	}
 
-	/** Notes that the body of a request is not read: the connection closes after its response. */
-	leaveUnread(res: ServerResponse): void {
-		this.#unread.add(res);
+	/** Closes the connection after a response: the body of its request is not read, or further bodies are not wanted. */
+	closeAfter(res: ServerResponse, reason: string): void {
+		this.#last.set(res, reason);
 	}
 
 	/** Why this entry closed the connection of a response; undefined if it did not. */
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -242,7 +242,7 @@
 		http.addHook('preParsing', async (req, res, payload) => {
 			const refusal = hasBody(req.raw) ? await this.#readBody(req, res) : undefined;
 			if (refusal !== undefined) {
-				this.#server.leaveUnread(res.raw);
+				this.#server.closeAfter(res.raw, 'body not read');
 				this.#refuse(res, req.id, refusal);
 			}
 
@@ -288,6 +288,10 @@
 			return read.refusal;
 		}
 
+		if (read.isLast) {
+			this.#server.closeAfter(res.raw, 'large body while others wait');
+		}
+
 		this.#bodies.set(raw, read.body);
 		return undefined;
 	}
--- a/packages/entry/src/request-bodies.ts
+++ b/packages/entry/src/request-bodies.ts
@@ -17,7 +17,7 @@
 
 /** What became of a body; `refusal` is for the caller of one that is not read. */
 export type RequestBody
-	= | {readonly kind: 'read'; readonly body: Uint8Array}
+	= | {readonly kind: 'read'; readonly body: Uint8Array; /** Whether the connection is to be closed after the response. */ readonly isLast: boolean}
 		| {readonly kind: 'unread'; readonly refusal: Refusal};
 
 export type RequestBodiesOptions = {
@@ -61,7 +61,7 @@
 		});
 		res.once('close', reading.release);
 		const end = await reading.ended;
-		return end.kind === 'complete' ? {kind: 'read', body: end.body} : {kind: 'unread', refusal: refusalFor(end, this.#maxBytes)};
+		return end.kind === 'complete' ? {kind: 'read', body: end.body, isLast: end.isLast} : {kind: 'unread', refusal: refusalFor(end, this.#maxBytes)};
 	}
 }
 
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -13,7 +13,7 @@
 import {RequestHandler, type RequestHandlerContext} from './request-handler.js';
 import {refusalOf, retryAfterSeconds} from './refusals.js';
 import {
-	BoundedConnections, CallerBudget, callerBudgetBytes, CallerConnection, dropBody, maxCallerConnections, PiecePool, readCallerBody, ReadPacer, SWEEP_INTERVAL_MS, UndrainedConnections, type BodyEnd, type MachineLimits,
+	BoundedConnections, CallerBudget, callerBudgetBytes, CallerConnection, dropBody, maxCallerConnections, PiecePool, readCallerBody, ReadPacer, SWEEP_INTERVAL_MS, UndrainedConnections, type BodyEnd, type CloseWish, type MachineLimits,
 } from '#connections';
 import {guardCallback, listenWhenFree} from '#core';
 import {BacklogProbe, type ReadDelay} from '#requests';
@@ -71,6 +71,8 @@
 	readonly callerResponse: CallerResponse;
 	/** Undefined while the request cannot be told by its id. */
 	requestId: string | undefined;
+	/** Whether the connection closes after it. */
+	isLast: boolean;
 	/** Undefined while the request is read. */
 	handler: RequestHandler | undefined;
 };
@@ -125,7 +127,7 @@
 			}
 
 			const callerResponse = CallerResponse.create(res, {
-				closesAfter: isRequired => connection.closesAfter(res, isRequired ? 'must-close' : (this.#isDraining ? 'close' : 'keep')),
+				closesAfter: isRequired => connection.closesAfter(res, this.#closeWish(res, isRequired)),
 				closeReason: () => connection.closeReason,
 				onCut() {
 					connection.noteClose('earlier response was cut off');
@@ -134,7 +136,9 @@
 					connection.reset();
 				},
 			});
-			this.#openResponses.set(res, {callerResponse, requestId: undefined, handler: undefined});
+			this.#openResponses.set(res, {
+				callerResponse, requestId: undefined, isLast: false, handler: undefined,
+			});
 			this.#boundedConnections.addResponse(res);
 			res.once('close', () => {
 				this.#openResponses.delete(res);
@@ -283,6 +287,18 @@
 		}
 	}
 
+	#closeWish(res: ServerResponse, isRequired: boolean): CloseWish {
+		if (isRequired) {
+			return {kind: 'must-close', reason: 'response without a length'};
+		}
+
+		if (this.#openResponses.get(res)?.isLast === true) {
+			return {kind: 'must-close', reason: 'large body while others wait'};
+		}
+
+		return {kind: this.#isDraining ? 'close' : 'keep'};
+	}
+
 	#connectionOf(socket: Socket): CallerConnection {
 		const known = this.#connections.get(socket);
 		if (known !== undefined) {
@@ -363,6 +379,10 @@
 			return;
 		}
 
+		if (open !== undefined && read.isLast) {
+			open.isLast = true;
+		}
+
 		if (!await this.#connectionOf(req.socket).awaitTurn(res)) {
 			context.events.record({kind: 'not-taken', requestId: caller.id, reason: 'connection closes'});
 			return;
