Do not hold the connections of callers that have left

What callers saw: an entry of the own stack left the memory of its machine after a crowd of callers with large bodies had gone (331 MB of 250), and did not get it back: it held the connection, the request and the body of every caller that left before its response began. Cause: the servers for callers kept a map of connections, and removed a socket from it when it closed. If it had closed before it was looked up, as for a response that begins after its caller has left, its 'close' never came again. Ruled out: messages that wait on the link to the endpoint (a bound for them changed nothing; a trial, reverted). Fix: CallerConnections, shared by both servers, finds connections by a weak map, and keeps only open ones in a set. The entry of the platform had the same map; there it was not seen to grow.

--- a/packages/connections/__tests__/unit/caller-connection.test.ts
+++ b/packages/connections/__tests__/unit/caller-connection.test.ts
@@ -4,8 +4,9 @@
 import {connect, Socket, type AddressInfo} from 'node:net';
 import {promisify} from 'node:util';
 import t, {type Test} from 'tap';
-import {CallerConnection, UndrainedConnections} from '#connections';
+import {CallerConnections, UndrainedConnections} from '#connections';
 import {sleep} from '#core';
+import {collectGarbage} from '#harness';
 
 const CALLERS = 40;
 
@@ -20,10 +21,9 @@
 
 /** Starts a server that closes each connection after its first response. */
 async function startServer(t: Test): Promise<Server> {
-	const undrained = UndrainedConnections.create();
-	const connections = new WeakMap<Socket, CallerConnection>();
+	const connections = CallerConnections.create({onUnsent: () => undefined});
 	const server = createServer((req, res) => {
-		const connection = connections.get(req.socket)!;
+		const connection = connections.of(req.socket);
 		if (!connection.take(res)) {
 			return;
 		}
@@ -31,9 +31,6 @@
 		connection.closesAfter(res, {kind: 'must-close', reason: 'test'});
 		res.writeHead(413, {Connection: 'close', 'Content-Length': 0}).end();
 	});
-	server.on('connection', (socket: Socket) => {
-		connections.set(socket, CallerConnection.create(socket, {undrained, onUnsent: () => undefined}));
-	});
 	server.listen(0, '127.0.0.1');
 	await once(server, 'listening');
 	t.teardown(() => {
@@ -82,3 +79,28 @@
 	t.same(sockets.map(({destroyed}) => destroyed), sockets.map((_, i) => i < CALLERS - MAX_KEPT), 'the oldest are closed');
 	t.end();
 });
+
+/** Asks for the connections of sockets that close, and of those that have closed. */
+async function closeSockets(connections: CallerConnections): Promise<ReadonlyArray<WeakRef<Socket>>> {
+	return Promise.all(Array.from({length: CALLERS}, async (_, i) => {
+		const socket = new Socket();
+		if (i % 2 === 0) {
+			connections.of(socket);
+		}
+
+		const closed = once(socket, 'close');
+		socket.destroy();
+		await closed;
+		connections.of(socket);
+		return new WeakRef(socket);
+	}));
+}
+
+await t.test('connections that have closed are not held', async t => {
+	const connections = CallerConnections.create({onUnsent: () => undefined});
+	const refs = await closeSockets(connections);
+	await sleep(10);
+	collectGarbage();
+	t.equal(refs.filter(ref => ref.deref() !== undefined).length, 0);
+	t.equal(connections.lingering, 0);
+});
--- a/packages/connections/src/index.ts
+++ b/packages/connections/src/index.ts
@@ -8,6 +8,7 @@
 export {
 	CallerBudget, callerBudgetBytes, SWEEP_INTERVAL_MS, type ReadRefusal, type SweepLimits,
 } from './caller-budget.js';
+export {CallerConnections, type CallerConnectionsOptions} from './caller-connections.js';
 export {
 	CallerConnection, UndrainedConnections, type CallerConnectionOptions, type CloseWish,
 } from './caller-connection.js';
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -3,7 +3,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
-import {BoundedConnections, CallerConnection, UndrainedConnections} from '#connections';
+import {BoundedConnections, CallerConnections} from '#connections';
 import {type Logger} from '#telemetry';
 
 const MAX_HEADER_BYTES = 32 * 1024;
@@ -28,9 +28,7 @@
 	readonly #log: Logger;
 	readonly #options: CallerServerOptions;
 	readonly #open = new Set<ServerResponse>();
-	readonly #undrained = UndrainedConnections.create();
-	/** Connections that have sent a request. */
-	readonly #connections = new Map<Socket, CallerConnection>();
+	readonly #connections: CallerConnections;
 	/** Responses after which their connections close, and why. */
 	readonly #last = new WeakMap<ServerResponse, string>();
 	readonly #boundedConnections: BoundedConnections;
@@ -41,12 +39,17 @@
 		const {maxConnections} = options;
 		this.#log = log;
 		this.#options = options;
+		this.#connections = CallerConnections.create({
+			onUnsent(bytes) {
+				log.warn('bytes not sent', {bytes});
+			},
+		});
 		this.#boundedConnections = BoundedConnections.create({
 			max: maxConnections,
 			isHandled: ({req}) => req.complete,
 			onDisplaced: (socket, use) => {
 				log.warn('connection displaced', {use, maxConnections});
-				this.#connectionOf(socket).noteClose('too many connections');
+				this.#connections.of(socket).noteClose('too many connections');
 			},
 		});
 	}
@@ -58,14 +61,14 @@
 
 	/** Number of connections whose last response may not have arrived yet. */
 	get lingeringConnections(): number {
-		return [...this.#connections.values()].filter(({isLingering}) => isLingering).length;
+		return this.#connections.lingering;
 	}
 
 	/** Creates the server, which passes on each request that can be answered. */
 	listenWith(onRequest: RequestListener): Server {
 		// Node's own refusal of a request without a host would close the connection before the responses to later requests.
 		const server = createServer({maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: IDLE_TIMEOUT_MS, requireHostHeader: false}, (req, res) => {
-			if (!this.#connectionOf(req.socket).take(res)) {
+			if (!this.#connections.of(req.socket).take(res)) {
 				this.#log.info('request not taken', {reason: 'connection closes', method: req.method});
 				this.#options.dropBody(req);
 				return;
@@ -89,7 +92,7 @@
 
 	/** Ends a connection after bytes that are no request. Responses in progress end first; other bytes would be taken as part of them. */
 	refuseInput(err: Error, socket: Socket): void {
-		const connection = this.#connectionOf(socket);
+		const connection = this.#connections.of(socket);
 		if (connection.isLingering) {
 			return;
 		}
@@ -111,7 +114,7 @@
 	/** Decides whether the connection closes after a response whose head is about to be sent; it must after some. */
 	closesAfter(res: ServerResponse): boolean {
 		const reason = this.#last.get(res);
-		return this.#connectionOf(res.req.socket).closesAfter(res, reason === undefined ? {kind: this.#isDraining ? 'close' : 'keep'} : {kind: 'must-close', reason});
+		return this.#connections.of(res.req.socket).closesAfter(res, reason === undefined ? {kind: this.#isDraining ? 'close' : 'keep'} : {kind: 'must-close', reason});
 	}
 
 	/** Closes the connection after a response: the body of its request is not read, or further bodies are not wanted. */
@@ -121,12 +124,12 @@
 
 	/** Why this entry closed the connection of a response; undefined if it did not. */
 	closeReasonOf(res: ServerResponse): string | undefined {
-		return this.#connectionOf(res.req.socket).closeReason;
+		return this.#connections.of(res.req.socket).closeReason;
 	}
 
 	/** Closes the connection of a response that cannot be ended in another way. */
 	cut(res: ServerResponse, reason: string): void {
-		this.#connectionOf(res.req.socket).noteClose(reason);
+		this.#connections.of(res.req.socket).noteClose(reason);
 		res.destroy();
 	}
 
@@ -149,23 +152,4 @@
 			this.#server?.closeIdleConnections();
 		}
 	}
-
-	#connectionOf(socket: Socket): CallerConnection {
-		const known = this.#connections.get(socket);
-		if (known !== undefined) {
-			return known;
-		}
-
-		const connection = CallerConnection.create(socket, {
-			undrained: this.#undrained,
-			onUnsent: bytes => {
-				this.#log.warn('bytes not sent', {bytes});
-			},
-		});
-		this.#connections.set(socket, connection);
-		socket.once('close', () => {
-			this.#connections.delete(socket);
-		});
-		return connection;
-	}
 }
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -13,7 +13,7 @@
 import {RequestHandler, type RequestHandlerContext} from './request-handler.js';
 import {refusalOf, retryAfterSeconds} from './refusals.js';
 import {
-	BoundedConnections, CallerBudget, callerBudgetBytes, CallerConnection, dropBody, maxCallerConnections, PiecePool, readCallerBody, ReadPacer, SWEEP_INTERVAL_MS, UndrainedConnections, type BodyEnd, type CloseWish, type MachineLimits,
+	BoundedConnections, CallerBudget, callerBudgetBytes, CallerConnections, dropBody, maxCallerConnections, PiecePool, readCallerBody, ReadPacer, SWEEP_INTERVAL_MS, type BodyEnd, type CloseWish, type MachineLimits,
 } from '#connections';
 import {guardCallback, listenWhenFree} from '#core';
 import {BacklogProbe, type ReadDelay} from '#requests';
@@ -91,9 +91,7 @@
 	#hold: Hold | undefined;
 	readonly #heldConnections = new WeakSet<Socket>();
 	readonly #openResponses = new Map<ServerResponse, OpenResponse>();
-	readonly #undrained = UndrainedConnections.create();
-	/** Connections that have sent a request. */
-	readonly #connections = new Map<Socket, CallerConnection>();
+	readonly #connections: CallerConnections;
 	readonly #backlogProbe: BacklogProbe;
 	readonly #budget: CallerBudget;
 	/** Memory for bodies. */
@@ -104,6 +102,11 @@
 
 	private constructor(options: CallerServerOptions) {
 		this.#options = options;
+		this.#connections = CallerConnections.create({
+			onUnsent(bytes) {
+				options.context.events.record({kind: 'unsent', bytes});
+			},
+		});
 		this.#budget = CallerBudget.create(callerBudgetBytes(options.machine?.memoryBytes));
 		const maxConnections = maxCallerConnections(options.machine?.openFiles);
 		this.#boundedConnections = BoundedConnections.create({
@@ -111,7 +114,7 @@
 			isHandled: res => this.#openResponses.get(res)?.handler !== undefined,
 			onDisplaced: (socket, use) => {
 				options.context.events.record({kind: 'connection-displaced', use, maxConnections});
-				this.#connectionOf(socket).noteClose('too many connections');
+				this.#connections.of(socket).noteClose('too many connections');
 			},
 		});
 		this.#backlogProbe = BacklogProbe.create({host: options.host, port: options.port}, options.readDelay, options.context.now);
@@ -119,7 +122,7 @@
 		this.#server = createServer({
 			maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS, noDelay: true, requireHostHeader: false,
 		}, (req, res) => {
-			const connection = this.#connectionOf(req.socket);
+			const connection = this.#connections.of(req.socket);
 			if (!connection.take(res)) {
 				this.#recordNotTaken(req);
 				dropBody(req, this.#pacer);
@@ -168,7 +171,7 @@
 		// The timeouts of the configuration apply; Node's own would abort requests that wait for a response.
 		this.#server.requestTimeout = 0;
 		this.#server.on('clientError', (err, socket) => {
-			const connection = this.#connectionOf(socket as Socket);
+			const connection = this.#connections.of(socket as Socket);
 			if (connection.isLingering) {
 				return;
 			}
@@ -204,7 +207,7 @@
 
 	/** Number of connections whose last response may not have arrived yet. */
 	get lingeringConnections(): number {
-		return [...this.#connections.values()].filter(({isLingering}) => isLingering).length;
+		return this.#connections.lingering;
 	}
 
 	get #isAnyLingering(): boolean {
@@ -277,7 +280,7 @@
 			bytes -= res.writableLength;
 			handler?.cutUnread();
 			// A response that waits for an earlier one has no socket of its own yet.
-			const connection = this.#connectionOf(res.req.socket);
+			const connection = this.#connections.of(res.req.socket);
 			connection.noteClose('not-read');
 			if (callerResponse.isUnframed) {
 				connection.reset();
@@ -299,25 +302,6 @@
 		return {kind: this.#isDraining ? 'close' : 'keep'};
 	}
 
-	#connectionOf(socket: Socket): CallerConnection {
-		const known = this.#connections.get(socket);
-		if (known !== undefined) {
-			return known;
-		}
-
-		const connection = CallerConnection.create(socket, {
-			undrained: this.#undrained,
-			onUnsent: bytes => {
-				this.#options.context.events.record({kind: 'unsent', bytes});
-			},
-		});
-		this.#connections.set(socket, connection);
-		socket.once('close', () => {
-			this.#connections.delete(socket);
-		});
-		return connection;
-	}
-
 	async #listen(signal: AbortSignal): Promise<void> {
 		await listenWhenFree(this.#server, this.#options, {signal, backlog: LISTEN_BACKLOG});
 		const {context: {config, events, now}} = this.#options;
@@ -383,7 +367,7 @@
 			open.isLast = true;
 		}
 
-		if (!await this.#connectionOf(req.socket).awaitTurn(res)) {
+		if (!await this.#connections.of(req.socket).awaitTurn(res)) {
 			context.events.record({kind: 'not-taken', requestId: caller.id, reason: 'connection closes'});
 			return;
 		}
