Pace the messages of other machines as the bodies of callers

Cause: all connections were read in each turn of the event loop, up to 2 MiB each, so messages waited for the garbage collection together.

--- a/packages/connections/__tests__/unit/message-bound.test.ts
+++ b/packages/connections/__tests__/unit/message-bound.test.ts
@@ -9,6 +9,8 @@
 	t.fail(String(error));
 };
 
+const source = {pause: () => undefined, resume: () => undefined};
+
 /** What happens on the connection that is used least recently, before there are too many. */
 type Step = 'chunk' | 'complete' | 'handled';
 
@@ -34,7 +36,7 @@
 		}, stop.signal);
 		const [used, idle, added] = [new Socket(), new Socket(), new Socket()];
 		bound.addConnection(used);
-		const messages = bound.countMessages(used);
+		const messages = bound.countMessages(used, source);
 		const handled: Array<() => void> = [];
 		for (const step of steps) {
 			switch (step) {
@@ -62,3 +64,39 @@
 		t.end();
 	});
 }
+
+void t.test('further messages wait for a later turn, and are read on', async t => {
+	const stop = new AbortController();
+	t.teardown(() => {
+		stop.abort();
+	});
+	const bound = MessageBound.create({
+		memoryBytes: MEMORY_BYTES, maxConnections: 100, now: () => 0, onError,
+	}, stop.signal);
+	const paused = new Set<number>();
+	const sockets = Array.from({length: 12}, (_, i) => {
+		const socket = new Socket();
+		bound.countMessages(socket, {
+			pause() {
+				paused.add(i);
+			},
+			resume() {
+				paused.delete(i);
+			},
+		});
+		return socket;
+	});
+	for (const socket of sockets) {
+		socket.emit('data', new Uint8Array(64 * 1024));
+	}
+
+	t.ok(paused.size > 0 && paused.size < sockets.length, `${paused.size} wait`);
+	for (const _ of sockets) {
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+
+	t.equal(paused.size, 0, 'all are read on');
+	t.notOk(sockets.some(({destroyed}) => destroyed));
+});
--- a/packages/connections/src/message-bound.ts
+++ b/packages/connections/src/message-bound.ts
@@ -4,9 +4,10 @@
  */
 import type {Socket} from 'node:net';
 import {
-	CallerBudget, callerBudgetBytes, SWEEP_INTERVAL_MS, type CallerShare,
+	CallerBudget, callerBudgetBytes, FREE_BYTES_PER_REQUEST, SWEEP_INTERVAL_MS, type CallerShare,
 } from './caller-budget.js';
 import {ConnectionBound, type ConnectionUse} from './connection-bound.js';
+import {ReadPacer} from './read-pacer.js';
 import {guardCallback, type ErrorListener} from '#core';
 
 /** Memory that a chunk takes beside its bytes, in bytes; a message may arrive in many small ones. */
@@ -24,6 +25,12 @@
 	readonly onError: ErrorListener;
 };
 
+/** Stops and resumes the reading of messages. */
+export type MessageSource = {
+	readonly pause: () => void;
+	readonly resume: () => void;
+};
+
 /** Counts the messages of one connection. */
 export type MessageCounter = {
 	/** Notes that a message is complete. Returns a function that gives back what it holds, called when it was handled. */
@@ -38,6 +45,7 @@
 
 	readonly #budget: CallerBudget;
 	readonly #connections: ConnectionBound<Socket>;
+	readonly #pacer = ReadPacer.create();
 	/** Connections whose current message is incomplete. */
 	readonly #reading = new Set<Socket>();
 	/** Number of messages that are handled, by connection. */
@@ -68,17 +76,20 @@
 		displaced?.destroy();
 	}
 
-	/** Counts the bytes of messages on a connection, which is closed if they are too many. */
-	countMessages(socket: Socket): MessageCounter {
+	/** Counts and paces the bytes of messages on a connection, which is closed if they are too many. */
+	countMessages(socket: Socket, source: MessageSource): MessageCounter {
 		let share: CallerShare | undefined;
 		let bytes = 0;
 		// Before the listener that completes a message with this chunk.
 		socket.prependListener('data', (chunk: Uint8Array) => {
 			bytes += chunk.length + CHUNK_OVERHEAD_BYTES;
 			share ??= this.#openShare(socket, () => bytes);
-			share.resize(bytes, this.#now());
+			if (share.resize(bytes, this.#now()) && bytes > FREE_BYTES_PER_REQUEST) {
+				this.#pace(socket, source, {chunkBytes: chunk.length, messageBytes: bytes});
+			}
 		});
 		socket.once('close', () => {
+			this.#pacer.remove(socket);
 			share?.release();
 		});
 		return {
@@ -112,6 +123,19 @@
 		}, this.#now());
 	}
 
+	#pace(socket: Socket, source: MessageSource, {chunkBytes, messageBytes}: {readonly chunkBytes: number; readonly messageBytes: number}): void {
+		if (this.#pacer.take(socket, chunkBytes, source.resume)) {
+			return;
+		}
+
+		if (this.#pacer.isFullFor(messageBytes)) {
+			this.#pacer.remove(socket);
+			socket.destroy();
+		} else {
+			source.pause();
+		}
+	}
+
 	#useOf(socket: Socket): ConnectionUse {
 		return this.#handled.has(socket) ? 'handling' : (this.#reading.has(socket) ? 'reading' : 'idle');
 	}
--- a/packages/links/src/request-server.ts
+++ b/packages/links/src/request-server.ts
@@ -67,7 +67,14 @@
 		this.#handler = handler;
 		this.#onError = onError;
 		server.on('connection', (socket, {socket: connection}: IncomingMessage) => {
-			const messages = bound.countMessages(connection);
+			const messages = bound.countMessages(connection, {
+				pause() {
+					socket.pause();
+				},
+				resume() {
+					socket.resume();
+				},
+			});
 			socket.on('error', () => {
 				socket.terminate();
 			});
