Bound the bodies that an endpoint holds for all of its entries

What callers saw: an endpoint left the memory of its machine behind an entry with more memory: 371 MB of 250. Cause: the endpoint relied on the bounds of its entries. Several entries, or one with a larger machine, can send more than it has. Fix: WorkMemory counts the bodies of waiting and running work beyond 8 KiB each, within the same share of the machine's memory as at an entry. Work that does not fit is refused as endpoint-full before it runs, so its entry may try another endpoint; a body alone always fits.

--- a/packages/endpoint/src/endpoint.ts
+++ b/packages/endpoint/src/endpoint.ts
@@ -12,7 +12,9 @@
 import {Rebalancer} from './rebalancer.js';
 import {RecentPrefixes} from './recent-prefixes.js';
 import {LoadMonitor} from './load-monitor.js';
+import {WorkMemory} from './work-memory.js';
 import {WorkRun, type RunResult, type BackendCalls} from './work-run.js';
+import {callerBudgetBytes} from '#connections';
 import {type ObjectStore} from '#coordination';
 import {mergeTeardowns, type Teardown} from '#core';
 import {EngineClient} from '#engine';
@@ -29,6 +31,8 @@
 /** Maximum number of attempt keys kept to detect duplicate work messages. */
 const MAX_SEEN_ATTEMPTS = 10_000;
 
+const BYTES_PER_MB = 1024 * 1024;
+
 export type EndpointOptions = {
 	readonly settings: EndpointSettings;
 	readonly peering: Peering;
@@ -61,6 +65,8 @@
 	readonly #subscribers = new Set<PeerLink>();
 	readonly #recentPrefixes = RecentPrefixes.create();
 	readonly #scheduler: WorkScheduler;
+	/** Bodies of the work that is waiting or running. */
+	readonly #memory: WorkMemory;
 	readonly #crashDetector: CrashDetector;
 	readonly #idle = new EventTarget();
 	#draining = false;
@@ -70,6 +76,7 @@
 		this.#options = options;
 		this.#log = options.log.child('endpoint');
 		const {settings, peering, signal} = options;
+		this.#memory = WorkMemory.create(callerBudgetBytes(settings.memoryMb * BYTES_PER_MB));
 		this.#engine = settings.backend.kind === 'model' ? EngineClient.create(settings.backendUrl) : undefined;
 		this.#service = settings.backend.kind === 'service' ? ServiceClient.create(settings.backendUrl) : undefined;
 		this.#loadMonitor = LoadMonitor.create({
@@ -213,6 +220,7 @@
 		const key = attemptKey({requestId, attempt}, link);
 		const run = this.#runs.get(key);
 		if (run === undefined && this.#scheduler.remove(key, Date.now()) !== undefined) {
+			this.#memory.release(key);
 			this.#checkIdle();
 			return;
 		}
@@ -254,6 +262,11 @@
 			return;
 		}
 
+		if (!this.#memory.hold(id, work.body.byteLength)) {
+			this.#refuse(job, 'endpoint-full');
+			return;
+		}
+
 		if (this.#scheduler.submit(job, now)) {
 			const {requestId, attempt} = work;
 			link.send({
@@ -266,6 +279,7 @@
 	/** Notifies the entry that the work did not run. */
 	#refuse(job: Job, reason: string): void {
 		const {requestId, attempt} = job.work;
+		this.#memory.release(job.id);
 		this.#options.metrics.count('endpointRefusals', reason);
 		job.link.send({
 			kind: 'refused', requestId, attempt, reason, outcome: 'not-run', load: this.#wireLoad(),
@@ -283,6 +297,7 @@
 			await this.#sendResult(id, run, result);
 		} finally {
 			this.#runs.delete(id);
+			this.#memory.release(id);
 			this.#scheduler.onFinished(id, Date.now());
 			this.#checkIdle();
 		}
--- a/packages/harness/src/index.ts
+++ b/packages/harness/src/index.ts
@@ -2,7 +2,7 @@
 export {Child, MEASURED_ENV, type ChildOptions} from './child.js';
 export {runCommand, type CommandResult} from './command.js';
 export {
-	hashKey, OPERATOR_KEY, PLATFORM_KEY, SHARED_KEY, TestFleet, type EndpointNode, type EngineOptions, type EntryNode, type GroupOptions, type Location, type ServiceOptions,
+	hashKey, OPERATOR_KEY, PLATFORM_KEY, SHARED_KEY, TestFleet, type DaemonLines, type EndpointNode, type EngineOptions, type EntryNode, type GroupOptions, type Location, type ServiceOptions,
 } from './test-fleet.js';
 export {findFreePort} from './free-port.js';
 export {waitUntil} from './wait.js';
--- a/packages/harness/src/test-fleet.ts
+++ b/packages/harness/src/test-fleet.ts
@@ -82,11 +82,14 @@
 	return createHash('sha256').update(key).digest('hex');
 }
 
+/** Further lines of the section `[daemon]` of a daemon in this role. */
+export type DaemonLines = (role: DaemonSettings['role']) => readonly string[];
+
 export class TestFleet {
 	/** Starts the platform stand-in. Engines, services and entries are added afterwards. */
-	static async create(options: {readonly platformArgs?: readonly string[]; readonly daemonSettings?: readonly string[]; readonly daemonEnv?: Readonly<Record<string, string>>} = {}): Promise<TestFleet> {
+	static async create(options: {readonly platformArgs?: readonly string[]; readonly daemonSettings?: DaemonLines; readonly daemonEnv?: Readonly<Record<string, string>>} = {}): Promise<TestFleet> {
 		const platform = await Child.create('platform', 'target/packages/standins-platform/src/bin.js', ['--port', '0', '--key', PLATFORM_KEY, ...options.platformArgs ?? []]);
-		return new TestFleet(platform, options.daemonSettings ?? [], options.daemonEnv ?? {});
+		return new TestFleet(platform, options.daemonSettings ?? (() => []), options.daemonEnv ?? {});
 	}
 
 	readonly platform: Child;
@@ -99,13 +102,12 @@
 	#endpointCount = 0;
 	#rulesFileCount = 0;
 
-	/** Further lines of each daemon's section `[daemon]`. */
-	readonly #daemonSettings: readonly string[];
+	readonly #daemonSettings: DaemonLines;
 
 	/** Further environment variables of each daemon. */
 	readonly #daemonEnv: Readonly<Record<string, string>>;
 
-	private constructor(platform: Child, daemonSettings: readonly string[], daemonEnv: Readonly<Record<string, string>>) {
+	private constructor(platform: Child, daemonSettings: DaemonLines, daemonEnv: Readonly<Record<string, string>>) {
 		this.platform = platform;
 		this.#daemonEnv = daemonEnv;
 		this.#daemonSettings = daemonSettings;
@@ -378,7 +380,7 @@
 			`zone = ${location.zone ?? 'colombo-a'}`,
 			`address = ${LOOPBACK}:0`,
 			'log-level = info',
-			...this.#daemonSettings,
+			...this.#daemonSettings(role),
 			'',
 			'[platform]',
 			`url = ${this.platformUrl}`,
--- a/packages/integration/__tests__/crowd-cases.ts
+++ b/packages/integration/__tests__/crowd-cases.ts
@@ -11,6 +11,11 @@
 /** Memory of the smallest known machine, in MB. */
 const MEMORY_LIMIT_MB = 250;
 
+/** Memory of the machines in the settings, which the processes must stay within, in MB. */
+export type MachineMemory = {readonly entry: number; readonly endpoint: number};
+
+const smallestMachines: MachineMemory = {entry: MEMORY_LIMIT_MB, endpoint: MEMORY_LIMIT_MB};
+
 const MAX_DESCRIPTORS = 1000;
 
 const MAX_BODY_BYTES = 768 * 1024;
@@ -33,12 +38,12 @@
 
 export type CrowdCase = {readonly port: Port; readonly answerMs: number; readonly scripts: readonly NamedScript[]};
 
-export async function testCrowds(cases: readonly CrowdCase[]): Promise<void> {
+export async function testCrowds(cases: readonly CrowdCase[], memoryMb = smallestMachines): Promise<void> {
 	for (const {port, answerMs, scripts} of cases) {
 		for (const {name, script} of scripts) {
 			await t.test(`${port}: ${name}${answerMs === 0 ? '' : `, answered after ${answerMs} ms`}`, {timeout: 120_000}, async t => {
 				const running = await startFleet({
-					rules: baseRules('service notices idempotency=none # asked by Ruwan: notices may be read again'), services: [{service: 'notices'}], daemonSettings: [`memory-mb = ${MEMORY_LIMIT_MB}`, `max-open-files = ${MAX_DESCRIPTORS}`], daemonEnv: MEASURED_ENV,
+					rules: baseRules('service notices idempotency=none # asked by Ruwan: notices may be read again'), services: [{service: 'notices'}], daemonSettings: role => [`memory-mb = ${memoryMb[role]}`, `max-open-files = ${MAX_DESCRIPTORS}`], daemonEnv: MEASURED_ENV,
 				});
 				t.teardown(async () => stopFleet(running));
 				const [entry] = running.fleet.entries;
@@ -48,11 +53,11 @@
 					target: addressOf(running, port), callers: CALLERS, script, playMs: PLAY_MS, pids: [entry!.daemon.pid, endpoint!.daemon.pid], request: async () => listNotices(entry!.url),
 				});
 				t.comment(describeCrowd(result));
-				for (const [i, {daemon}] of [entry!, endpoint!].entries()) {
-					const {memoryMb, descriptors} = result.peaks[i]!;
+				for (const [i, {daemon, limitMb}] of [{daemon: entry!.daemon, limitMb: memoryMb.entry}, {daemon: endpoint!.daemon, limitMb: memoryMb.endpoint}].entries()) {
+					const peak = result.peaks[i]!;
 					t.ok(daemon.running, `${daemon.name} runs`);
-					t.ok(memoryMb < MEMORY_LIMIT_MB, `${daemon.name}: peak of ${Math.round(memoryMb)} MB`);
-					t.ok(descriptors < MAX_DESCRIPTORS, `${daemon.name}: ${descriptors} descriptors`);
+					t.ok(peak.memoryMb < limitMb, `${daemon.name}: peak of ${Math.round(peak.memoryMb)} MB`);
+					t.ok(peak.descriptors < MAX_DESCRIPTORS, `${daemon.name}: ${peak.descriptors} descriptors`);
 				}
 
 				t.equal(result.afterwards.at(-1), '200', 'an ordinary request is served afterwards');
--- a/packages/integration/src/fixtures.ts
+++ b/packages/integration/src/fixtures.ts
@@ -1,7 +1,7 @@
 /** Rules and fleets shared by the integration tests. */
 import {Buffer} from 'node:buffer';
 import {
-	Caller, hashKey, TestFleet, type EndpointNode, type EngineOptions, type GroupOptions, type ServiceOptions,
+	Caller, hashKey, TestFleet, type DaemonLines, type EndpointNode, type EngineOptions, type GroupOptions, type ServiceOptions,
 } from '#harness';
 
 export const CLERK_KEY = 'key-of-the-clerks-desk';
@@ -27,8 +27,7 @@
 	readonly groups?: ReadonlyArray<GroupOptions & {readonly members: number}>;
 	readonly rules?: string;
 	readonly platformArgs?: readonly string[];
-	/** Further lines of each daemon's section `[daemon]`. */
-	readonly daemonSettings?: readonly string[];
+	readonly daemonSettings?: DaemonLines;
 	/** Further environment variables of each daemon. */
 	readonly daemonEnv?: Readonly<Record<string, string>>;
 };
@@ -38,7 +37,7 @@
 
 /** Starts a fleet and waits until every entry has load reports from every endpoint. */
 export async function startFleet(options: FleetOptions): Promise<RunningFleet> {
-	const {platformArgs = [], daemonSettings = [], daemonEnv = {}} = options;
+	const {platformArgs = [], daemonSettings = () => [], daemonEnv = {}} = options;
 	const fleet = await TestFleet.create({platformArgs, daemonSettings, daemonEnv});
 	await fleet.putRules(1, options.rules ?? baseRules());
 	await Promise.all(Array.from({length: options.entries ?? 1}, async () => fleet.addEntry()));
