--- a/packages/connections/src/caller-budget.ts
+++ b/packages/connections/src/caller-budget.ts
@@ -3,13 +3,13 @@
  * method takes the monotonic time in ms.
  */
 
-/** Memory of a process that serves ordinary load, in bytes; measured as about 110 MB. */
+/** Memory of a process that serves ordinary load, in bytes. */
 const ORDINARY_BYTES = 110 * 1024 * 1024;
 
 /** Freed buffers that the engine may keep before it collects garbage, in bytes: it does so after 64 MB outside its heap. */
 const FLOATING_BYTES = 64 * 1024 * 1024;
 
-/** Share of the rest for what callers send; the other part is for responses that wait for their callers, and receive buffers. With 0.5 a crowd brought a process to 246 of 250 MB. */
+/** Share of the rest for what callers send; the other part is for responses that wait for their callers, and receive buffers. */
 const REQUEST_SHARE = 0.25;
 
 /** Smallest budget, in bytes: a few of the largest bodies of the usual configuration. */
--- a/packages/connections/src/read-pacer.ts
+++ b/packages/connections/src/read-pacer.ts
@@ -5,7 +5,7 @@
 import type {IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
 
-/** Bytes of bodies that are read in one turn before further connections wait for a later one. */
+/** Bytes that are read in one turn before further connections wait for a later one. A link of 1,000 Mbit/s is read without a wait. */
 const MAX_BYTES_PER_TURN = 256 * 1024;
 
 /** What a chunk counts beside its bytes: small ones take more time than their bytes. */
@@ -14,10 +14,10 @@
 /** Connections that wait and are read on in one turn; each is read up to 64 KiB at least. */
 const RESUMED_PER_TURN = 4;
 
-/** Requests that wait at most, unless their bodies are small; the kernel holds up to some MiB of each. A link of 1,000 Mbit/s is read without a wait. */
+/** Bodies and messages that wait at most, unless they are small; the kernel holds up to some MiB of each. */
 const MAX_WAITING = 16;
 
-/** Size of a body up to which it waits in any case: after a pause of the process, those of many callers are read at once. */
+/** Size up to which a body or message waits in any case: after a pause of the process, those of many callers are read at once. */
 const FREE_TO_WAIT_BYTES = 128 * 1024;
 
 /** What is read: the body of a request, or the messages of a connection. */
