--- a/packages/gateway/__tests__/unit/status-server.test.ts
+++ b/packages/gateway/__tests__/unit/status-server.test.ts
@@ -6,7 +6,7 @@
 
 const HOST = '127.0.0.1';
 
-/** More than the server keeps, and than wait to be accepted. */
+/** More than the server keeps. */
 const CONNECTIONS = 100;
 
 const GET = 'GET /ready HTTP/1.1\r\nHost: h\r\n';
