--- a/review/lib-2/replica.mjs
+++ b/review/lib-2/replica.mjs
@@ -99,6 +99,13 @@
 			return;
 		}
 
+		// A whole body with neither a length nor chunks, which ends with its connection.
+		case 'unframed-body': {
+			socket.write(`${signed}Content-Type: text/plain\r\nConnection: close\r\n\r\n`);
+			socket.end('x'.repeat(Number(query.get('bytes'))));
+			return;
+		}
+
 		case 'events': {
 			socket.write(stream + chunked);
 			await sendEvents(socket, query, lastEventId, asChunk);
