--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -17,10 +17,10 @@
 				name: 'book', path_prefix: '/book/', type: 'non_idempotent', service: 'ledger', max_attempts: 1,
 			},
 			{
-				name: 'read', path_prefix: '/read/', type: 'idempotent', service: 'archive',
+				name: 'draft', path_prefix: '/draft/', type: 'streaming', stream_resume: true, target_gap_ms: 120, service: 'drafting',
 			},
 		],
-		services: {ledger: [{slots: 30}], archive: [{}]},
+		services: {ledger: [{slots: 30}], drafting: [{}]},
 		onEvent({kind, requestId, replica}) {
 			record.note(`${requestId} ${kind} at ${replica}`);
 			if (kind === 'arrived') {
@@ -37,10 +37,10 @@
 	const first = await Promise.all(clients.map(async (client, i) => client.request({path: '/book/x?work=20', id: `first-${i}`, deadlineMs: 2500})));
 	record.note(`${first.filter(({status}) => status === 200).length} of ${BOOKINGS} bookings answered 200; their connections are kept`);
 
-	const reader = new Client(entry);
-	record.note(`read-0 sent, answered ${hasTrouble ? 'without end' : 'as usual'}`);
-	const read = reader.request({
-		method: 'GET', path: hasTrouble ? '/read/x?answer=endless-body' : '/read/x', id: 'read-0', deadlineMs: DEADLINE_MS,
+	const drafter = new Client(entry);
+	record.note(`draft-0 sent, answered ${hasTrouble ? 'without end' : 'as usual'}`);
+	const draft = drafter.request({
+		path: hasTrouble ? '/draft/x?answer=endless-body' : '/draft/x?answer=events&events=28&gap=60', id: 'draft-0', deadlineMs: DEADLINE_MS,
 	});
 	// Each client books again and again on its connection.
 	const until = performance.now() + DEADLINE_MS;
@@ -53,9 +53,9 @@
 		record.note(`${answer.id}: status ${answer.status}, ${answer.end} after ${answer.ms} ms`);
 		return answer;
 	}));
-	const {status, end, ms} = await read;
-	record.note(`read-0: status ${status}, ${end} after ${ms} ms`);
-	reader.close();
+	const {status, end, ms} = await draft;
+	record.note(`draft-0: status ${status}, ${end} after ${ms} ms`);
+	drafter.close();
 	// The end of a process is told a little later than that of its connections.
 	await sleep(500);
 	record.note(entry.describe());
--- a/review/lib-2/replica.mjs
+++ b/review/lib-2/replica.mjs
@@ -124,7 +124,7 @@
 
 		// Bytes without end, in chunks of one byte, until the caller closes.
 		case 'endless-body': {
-			socket.write(`${signed}Content-Type: text/plain\r\n${chunked}`);
+			socket.write(`${signed.replace('200 OK', '500 Internal Server Error')}Content-Type: text/plain\r\n${chunked}`);
 			await sendWithoutEnd(socket, '1\r\nx\r\n');
 			return;
 		}
