Find the end of an event without joining its chunks

Cause: EventSplitter joined all pending chunks with each chunk that came after one shorter than two bytes, to look at the last two bytes. Processor profile of the entry: 94 % in Buffer.concat below EventSplitter, 1 % in the parser, 2 % in the garbage collection, which rules these out.

The splitter now keeps how the pending bytes end, and copies nothing to look for a blank line. Bytes copied for one event of 20 KB in chunks of one byte: 200,350,143 before, 20,014 now (event-splitter-work.test.ts failed before in 2 of 4 cases). The cases of event-splitter.test.ts still pass.

--- a/packages/dispatch/src/event-splitter.ts
+++ b/packages/dispatch/src/event-splitter.ts
@@ -24,8 +24,9 @@
 
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
-/** Longest part of a blank line, with the end of the line before it, that may lie before a chunk, in bytes. */
-const BLANK_LINE_OVERLAP = 2;
+
+/** How the bytes before a chunk end, as far as a blank line may begin there. */
+type LineState = 'line-end' | 'line-end-and-return' | 'inside-line';
 
 const ID_FIELD = /^id: ?(\d+)$/u;
 
@@ -48,6 +49,8 @@
 	/** Chunks of an incomplete event, joined only when it is complete: a long one would be copied with each chunk. */
 	readonly #pending: Uint8Array[] = [];
 	#pendingBytes = 0;
+	/** How what is pending ends. */
+	#lineState: LineState = 'inside-line';
 	#fault: string | undefined;
 	readonly #requiresIds: boolean;
 
@@ -83,6 +86,7 @@
 
 		this.#pending.length = 0;
 		this.#pendingBytes = 0;
+		this.#lineState = 'inside-line';
 		this.#hold(data);
 		return {bytes: forwarded.length === 1 ? forwarded[0]! : Buffer.concat(forwarded), count, fault: this.#fault};
 	}
@@ -91,14 +95,13 @@
 		if (bytes.length > 0) {
 			this.#pending.push(bytes);
 			this.#pendingBytes += bytes.length;
+			this.#lineState = lineStateAfter(bytes, this.#lineState);
 		}
 	}
 
 	/** Whether a blank line ends in this chunk; it may begin in what is pending. */
 	#completesEvent(chunk: Uint8Array): boolean {
-		const last = this.#pending.at(-1)!;
-		const tail = last.length >= BLANK_LINE_OVERLAP ? last.subarray(-BLANK_LINE_OVERLAP) : Buffer.concat(this.#pending).subarray(-BLANK_LINE_OVERLAP);
-		return findEventEnd(Buffer.concat([tail, chunk])) !== -1;
+		return completesBlankLine(chunk, this.#lineState) || findEventEnd(chunk) !== -1;
 	}
 
 	/** Checks the next block against what came before. Returns whether it is forwarded. */
@@ -172,3 +175,31 @@
 
 	return -1;
 }
+
+/** Whether a chunk begins with the rest of a blank line that began before it. */
+function completesBlankLine([first, second]: Uint8Array, before: LineState): boolean {
+	switch (before) {
+		case 'line-end': {
+			return first === LINE_FEED || (first === CARRIAGE_RETURN && second === LINE_FEED);
+		}
+
+		case 'line-end-and-return': {
+			return first === LINE_FEED;
+		}
+
+		case 'inside-line': {
+			return false;
+		}
+	}
+}
+
+/** How the stream ends after `bytes`, of which there is at least one. */
+function lineStateAfter(bytes: Uint8Array, before: LineState): LineState {
+	const last = bytes.at(-1);
+	if (last === LINE_FEED) {
+		return 'line-end';
+	}
+
+	const isAfterLine = bytes.length > 1 ? bytes.at(-2) === LINE_FEED : before === 'line-end';
+	return last === CARRIAGE_RETURN && isAfterLine ? 'line-end-and-return' : 'inside-line';
+}
--- a/packages/harness/src/index.ts
+++ b/packages/harness/src/index.ts
@@ -22,3 +22,4 @@
 export {requestStatus} from './request-status.js';
 export {ProcessUsage, type ProcessPeak} from './process-usage.js';
 export {collectGarbage} from './collect-garbage.js';
+export {countCopiedBytes, type CopiedBytes} from './copied-bytes.js';
