Move BodyBuffer to the core package

Parts that have no connections need it too: an event stream keeps the bytes of an incomplete event. No change of behaviour; its test moves with it unchanged.

--- a/packages/connections/src/caller-body.ts
+++ b/packages/connections/src/caller-body.ts
@@ -1,8 +1,8 @@
 /** Reads the body of a caller's request into memory that the budget for callers counts. */
 import type {IncomingMessage} from 'node:http';
-import {BodyBuffer, type PiecePool} from './body-buffer.js';
 import {FREE_BYTES_PER_REQUEST, type CallerBudget, type ReadRefusal} from './caller-budget.js';
 import type {ReadPacer} from './read-pacer.js';
+import {BodyBuffer, type PiecePool} from '#core';
 
 export type CallerBodyOptions = {
 	readonly budget: CallerBudget;
--- a/packages/connections/src/index.ts
+++ b/packages/connections/src/index.ts
@@ -1,5 +1,4 @@
 /** Public index: connections to back ends, one request and its response on one of them, what responses may hold, connections of callers and what their requests may hold, and what messages of other machines may hold. */
-export {PiecePool} from './body-buffer.js';
 export {BoundedConnections, type BoundedConnectionsOptions} from './bounded-connections.js';
 export {BufferBudget} from './buffer-budget.js';
 export {
--- a/packages/connections/__tests__/unit/body-buffer.test.ts
+++ b/packages/core/__tests__/unit/body-buffer.test.ts
@@ -1,7 +1,7 @@
 /** Bodies are copied completely, whatever their chunks; guards against bytes that are lost, or shared between bodies by the pool. */
 import {Buffer} from 'node:buffer';
 import t from 'tap';
-import {BodyBuffer, PiecePool} from '../../src/body-buffer.js';
+import {BodyBuffer, PiecePool} from '#core';
 
 const cases = [
 	{name: 'nothing', sizes: []},
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,6 +3,7 @@
 export {
 	BaseError, InputError, InvariantError, UnavailableError,
 } from './errors.js';
+export {BodyBuffer, PiecePool} from './body-buffer.js';
 export {bodyFramingOf, type BodyFraming} from './body-framing.js';
 export {describeError} from './describe-error.js';
 export {createDeferred, type Deferred} from './deferred.js';
--- a/packages/entry/src/request-bodies.ts
+++ b/packages/entry/src/request-bodies.ts
@@ -2,9 +2,9 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {createRefusal, type Refusal} from './refusal.js';
 import {
-	CallerBudget, callerBudgetBytes, dropBody, PiecePool, readCallerBody, ReadPacer, SWEEP_INTERVAL_MS, type BodyEnd,
+	CallerBudget, callerBudgetBytes, dropBody, readCallerBody, ReadPacer, SWEEP_INTERVAL_MS, type BodyEnd,
 } from '#connections';
-import {guardCallback, type ErrorListener} from '#core';
+import {guardCallback, PiecePool, type ErrorListener} from '#core';
 
 /** Longest time without a byte of a body, in ms. */
 const STALL_MS = 30_000;
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -13,9 +13,9 @@
 import {RequestHandler, type RequestHandlerContext} from './request-handler.js';
 import {refusalOf, retryAfterSeconds} from './refusals.js';
 import {
-	BoundedConnections, CallerBudget, callerBudgetBytes, CallerConnections, dropBody, maxCallerConnections, PiecePool, readCallerBody, ReadPacer, SWEEP_INTERVAL_MS, type BodyEnd, type CloseWish, type MachineLimits,
+	BoundedConnections, CallerBudget, callerBudgetBytes, CallerConnections, dropBody, maxCallerConnections, readCallerBody, ReadPacer, SWEEP_INTERVAL_MS, type BodyEnd, type CloseWish, type MachineLimits,
 } from '#connections';
-import {guardCallback, listenWhenFree} from '#core';
+import {guardCallback, listenWhenFree, PiecePool} from '#core';
 import {BacklogProbe, type ReadDelay} from '#requests';
 
 /** Default limit for request bodies, in bytes, if the configuration is not known yet. */
