Copy the bytes of an incomplete event into growing pieces

Cause: EventSplitter kept each chunk of an incomplete event, some 200 bytes of the heap for a chunk of one byte, while the limits count bytes. The rest of a chunk after complete events kept the whole chunk, too.

--- a/packages/core/src/body-buffer.ts
+++ b/packages/core/src/body-buffer.ts
@@ -1,4 +1,4 @@
-/** The bytes of one body, copied: a chunk that is kept as received keeps its whole receive buffer. */
+/** The bytes of one body or event, copied: a chunk that is kept as received keeps its whole receive buffer. */
 import {Buffer} from 'node:buffer';
 
 /** Sizes of the pieces in which memory is taken, in bytes. They grow with the body. */
@@ -55,7 +55,7 @@
 	 *
 	 * @param reserve - Called with the bytes that will be held before more memory is taken; if it returns false, the rest is not kept.
 	 */
-	append(chunk: Uint8Array, reserve: (capacity: number) => boolean): boolean {
+	append(chunk: Uint8Array, reserve: (capacity: number) => boolean = () => true): boolean {
 		let rest = chunk;
 		while (rest.length > 0) {
 			const last = this.#pieces.at(-1);
--- a/packages/dispatch/src/event-splitter.ts
+++ b/packages/dispatch/src/event-splitter.ts
@@ -4,6 +4,7 @@
  */
 
 import {Buffer} from 'node:buffer';
+import {BodyBuffer, PiecePool} from '#core';
 
 /** The events of a chunk that are to be forwarded. */
 export type SplitEvents = {
@@ -37,41 +38,42 @@
 	/**
 	 * @param lastId - Id of the last event that the caller has; events up to it are dropped, and the next one must follow it.
 	 * @param requiresIds - Whether each event needs an id, so that the stream can be resumed after it.
+	 * @param pool - Memory for incomplete events.
 	 */
-	static create(lastId?: number, requiresIds = lastId !== undefined): EventSplitter {
-		return new EventSplitter(lastId, requiresIds);
+	static create(lastId?: number, requiresIds = lastId !== undefined, pool = PiecePool.create()): EventSplitter {
+		return new EventSplitter(lastId, requiresIds, pool);
 	}
 
 	/** Id of the last event that was forwarded. */
 	lastId: number | undefined;
 	/** Id of the last event of this source, forwarded or dropped. */
 	#lastSourceId: number | undefined;
-	/** Chunks of an incomplete event, joined only when it is complete: a long one would be copied with each chunk. */
-	readonly #pending: Uint8Array[] = [];
-	#pendingBytes = 0;
+	/** An incomplete event, copied: a chunk that is kept takes some 200 bytes of the heap, and the memory of all that was received with it. */
+	readonly #pending: BodyBuffer;
 	/** How what is pending ends. */
 	#lineState: LineState = 'inside-line';
 	#fault: string | undefined;
 	readonly #requiresIds: boolean;
 
-	private constructor(lastId: number | undefined, requiresIds: boolean) {
+	private constructor(lastId: number | undefined, requiresIds: boolean, pool: PiecePool) {
 		this.lastId = lastId;
 		this.#requiresIds = requiresIds;
+		this.#pending = BodyBuffer.create(undefined, pool);
 	}
 
 	/** Number of bytes of an incomplete event. */
 	get pendingBytes(): number {
-		return this.#pendingBytes;
+		return this.#pending.bytes;
 	}
 
 	/** Processes the next bytes of the stream. Nothing is forwarded after a fault. */
 	push(chunk: Uint8Array): SplitEvents {
-		if (this.#pending.length > 0 && !this.#completesEvent(chunk)) {
+		if (this.pendingBytes > 0 && !this.#completesEvent(chunk)) {
 			this.#hold(chunk);
 			return {bytes: new Uint8Array(0), count: 0, fault: this.#fault};
 		}
 
-		let data = this.#pending.length === 0 ? Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength) : Buffer.concat([...this.#pending, chunk]);
+		let data = this.pendingBytes === 0 ? Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength) : Buffer.concat([this.#pending.take(), chunk]);
 		const forwarded: Uint8Array[] = [];
 		let count = 0;
 		for (let end = findEventEnd(data); end !== -1 && this.#fault === undefined; end = findEventEnd(data)) {
@@ -84,8 +86,6 @@
 			}
 		}
 
-		this.#pending.length = 0;
-		this.#pendingBytes = 0;
 		this.#lineState = 'inside-line';
 		this.#hold(data);
 		return {bytes: forwarded.length === 1 ? forwarded[0]! : Buffer.concat(forwarded), count, fault: this.#fault};
@@ -93,8 +93,7 @@
 
 	#hold(bytes: Uint8Array): void {
 		if (bytes.length > 0) {
-			this.#pending.push(bytes);
-			this.#pendingBytes += bytes.length;
+			this.#pending.append(bytes);
 			this.#lineState = lineStateAfter(bytes, this.#lineState);
 		}
 	}
--- a/packages/harness/src/collect-garbage.ts
+++ b/packages/harness/src/collect-garbage.ts
@@ -1,3 +1,4 @@
+import process from 'node:process';
 import {setFlagsFromString} from 'node:v8';
 import {runInNewContext} from 'node:vm';
 
@@ -5,3 +6,10 @@
 
 /** Runs a full garbage collection. */
 export const collectGarbage = runInNewContext('gc') as () => void;
+
+/** Bytes that the process refers to, in the heap and in buffers outside of it. */
+export function measureHeldBytes(): number {
+	collectGarbage();
+	const {heapUsed, arrayBuffers} = process.memoryUsage();
+	return heapUsed + arrayBuffers;
+}
--- a/packages/harness/src/index.ts
+++ b/packages/harness/src/index.ts
@@ -21,5 +21,5 @@
 } from './crowd-scripts.js';
 export {requestStatus} from './request-status.js';
 export {ProcessUsage, type ProcessPeak} from './process-usage.js';
-export {collectGarbage} from './collect-garbage.js';
+export {collectGarbage, measureHeldBytes} from './collect-garbage.js';
 export {countCopiedBytes, type CopiedBytes} from './copied-bytes.js';
