Copy the bodies of responses into growing pieces

Cause: each chunk of a body was kept as a buffer of its own until the end.

Bodies are now copied into a BodyBuffer, whose pieces the budget counts before they are taken; so are events, from the same pool.

--- a/packages/connections/src/buffer-budget.ts
+++ b/packages/connections/src/buffer-budget.ts
@@ -1,4 +1,5 @@
 /** Bounds the bytes of responses that an entry buffers for all its requests together. */
+import {PiecePool} from '#core';
 
 /** Bytes that each response may hold regardless of the others, so that endless responses don't displace ordinary ones. */
 const FREE_BYTES_PER_RESPONSE = 64 * 1024;
@@ -11,6 +12,8 @@
 		return new BufferBudget(sharedBytes);
 	}
 
+	/** Memory for the bodies and events that are buffered. */
+	readonly pieces = PiecePool.create();
 	#usedBytes = 0;
 	readonly #sharedBytes: number;
 
--- a/packages/connections/src/caller-body.ts
+++ b/packages/connections/src/caller-body.ts
@@ -2,7 +2,7 @@
 import type {IncomingMessage} from 'node:http';
 import {FREE_BYTES_PER_REQUEST, type CallerBudget, type ReadRefusal} from './caller-budget.js';
 import type {ReadPacer} from './read-pacer.js';
-import {BodyBuffer, type PiecePool} from '#core';
+import {announcedBytes, BodyBuffer, type PiecePool} from '#core';
 
 export type CallerBodyOptions = {
 	readonly budget: CallerBudget;
@@ -32,7 +32,7 @@
 export function readCallerBody(req: IncomingMessage, {
 	budget, pool, pacer, maxBytes, now,
 }: CallerBodyOptions): CallerBody {
-	const announced = announcedBytes(req);
+	const announced = announcedBytes(req.headers);
 	if (announced !== undefined && announced > maxBytes) {
 		dropBody(req, pacer);
 		return {ended: Promise.resolve({kind: 'too-large'}), release: () => undefined};
@@ -164,9 +164,3 @@
 function headBytes({url = '', rawHeaders}: IncomingMessage): number {
 	return rawHeaders.reduce((sum, text) => sum + text.length, url.length);
 }
-
-/** Length of the body that the head announces; undefined if it announces none. */
-function announcedBytes({headers}: IncomingMessage): number | undefined {
-	const length = headers['content-length'];
-	return length === undefined || headers['transfer-encoding'] !== undefined ? undefined : Number(length);
-}
--- a/packages/connections/src/exchange.ts
+++ b/packages/connections/src/exchange.ts
@@ -1,10 +1,9 @@
 /** One request and its response on one connection to an endpoint. */
-import {Buffer} from 'node:buffer';
 import {request, type ClientRequest, type IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
 import type {BufferBudget} from './buffer-budget.js';
 import type {ConnectionPool, ConnectionTarget} from './connection-pool.js';
-import {bodyFramingOf} from '#core';
+import {announcedBytes, BodyBuffer, bodyFramingOf} from '#core';
 
 /** The head of a response, or why there is none. */
 export type ExchangeHead
@@ -118,36 +117,49 @@
 /** Limits of a body: for itself, in bytes, and together with those of all other responses. */
 export type BodyLimits = {readonly maxBytes: number; readonly buffers: BufferBudget};
 
+/** What the reading of a body needs of its exchange. */
+type BodyExchange = Pick<Exchange, 'abort' | 'checkIsBroken'>;
+
 /** Reads a complete body. Returns undefined if it is truncated or exceeds a limit. */
-export async function readResponseBody(exchange: Exchange, res: IncomingMessage, {maxBytes, buffers}: BodyLimits): Promise<Uint8Array | undefined> {
+export async function readResponseBody(exchange: BodyExchange, res: IncomingMessage, {maxBytes, buffers}: BodyLimits): Promise<Uint8Array | undefined> {
 	const share = buffers.open();
+	const body = BodyBuffer.create(announcedBytes(res.headers), buffers.pieces);
 	try {
-		return await readLimitedBody(exchange, res, bytes => bytes <= maxBytes && share.resize(bytes));
+		const isRead = await readInto(body, {
+			exchange, res, maxBytes, reserve: share.resize,
+		});
+		return isRead ? body.take() : undefined;
 	} finally {
+		body.clear();
 		share.release();
 	}
 }
 
-async function readLimitedBody(exchange: Exchange, res: IncomingMessage, isWithinLimits: (bytes: number) => boolean): Promise<Uint8Array | undefined> {
-	const chunks: Uint8Array[] = [];
-	let bytes = 0;
+type BodyReading = {
+	readonly exchange: BodyExchange;
+	readonly res: IncomingMessage;
+	readonly maxBytes: number;
+	/** Returns whether the body may hold `bytes`. */
+	readonly reserve: (bytes: number) => boolean;
+};
+
+/** Returns whether the whole body was read. */
+async function readInto(body: BodyBuffer, {exchange, res, maxBytes, reserve}: BodyReading): Promise<boolean> {
 	return new Promise(resolve => {
-		res.on('data', (chunk: Uint8Array) => {
-			bytes += chunk.length;
-			if (isWithinLimits(bytes)) {
-				chunks.push(chunk);
-				return;
+		const onData = (chunk: Uint8Array) => {
+			if (body.bytes + chunk.length > maxBytes || !body.append(chunk, reserve)) {
+				res.off('data', onData);
+				resolve(false);
+				exchange.abort();
 			}
+		};
 
-			chunks.length = 0;
-			resolve(undefined);
-			exchange.abort();
-		});
+		res.on('data', onData);
 		let hasEnded = false;
 		res.once('end', () => {
 			hasEnded = true;
 			void exchange.checkIsBroken().then(isBroken => {
-				resolve(res.complete && !isBroken ? Buffer.concat(chunks) : undefined);
+				resolve(res.complete && !isBroken);
 			});
 		});
 		res.on('error', () => {
@@ -155,7 +167,7 @@
 		});
 		res.once('close', () => {
 			if (!hasEnded) {
-				resolve(undefined);
+				resolve(false);
 			}
 		});
 	});
--- a/packages/core/src/body-framing.ts
+++ b/packages/core/src/body-framing.ts
@@ -24,3 +24,9 @@
 
 	return codings.length === 1 && codings[0] === 'chunked' ? 'framed' : 'unsupported';
 }
+
+/** Length of the body that a head announces, in bytes; undefined if it announces none. */
+export function announcedBytes(headers: Headers): number | undefined {
+	const length = headers['content-length'];
+	return length === undefined || headers['transfer-encoding'] !== undefined ? undefined : Number(length);
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -4,7 +4,7 @@
 	BaseError, InputError, InvariantError, UnavailableError,
 } from './errors.js';
 export {BodyBuffer, PiecePool} from './body-buffer.js';
-export {bodyFramingOf, type BodyFraming} from './body-framing.js';
+export {announcedBytes, bodyFramingOf, type BodyFraming} from './body-framing.js';
 export {describeError} from './describe-error.js';
 export {createDeferred, type Deferred} from './deferred.js';
 export {invariant, unreachable} from './invariant.js';
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -46,7 +46,7 @@
 
 export async function relayStream({res, exchange, callerResponse, head, progress, isResumable, silenceMs, signal, buffers, claim, onSilent, onFirstEvent, onGap, onPaused}: RelayInput): Promise<RelayResult> {
 	const share = buffers.open();
-	const splitter = EventSplitter.create(progress.lastEventId, isResumable || progress.lastEventId !== undefined);
+	const splitter = EventSplitter.create(progress.lastEventId, isResumable || progress.lastEventId !== undefined, buffers.pieces);
 	let lastEventAt: number | undefined;
 	let isClaimed = false;
 	let isFinished = false;
