Extract the pacing of small chunks from CallerBudget

The bodies of responses need the same decision, without what CallerBudget knows of callers. No change of behaviour; the tests of CallerBudget pass with one import changed.

--- a/packages/connections/__tests__/unit/caller-budget.test.ts
+++ b/packages/connections/__tests__/unit/caller-budget.test.ts
@@ -1,8 +1,9 @@
 /** A crowd of callers against one budget; guards against memory that grows with the crowd, and against refusals of ordinary callers. */
 import t from 'tap';
 import {
-	CallerBudget, callerBudgetBytes, FREE_BYTES_PER_REQUEST, SWEEP_INTERVAL_MS, type CallerShare, type ReadRefusal,
+	CallerBudget, callerBudgetBytes, FREE_BYTES_PER_REQUEST, type CallerShare, type ReadRefusal,
 } from '../../src/caller-budget.js';
+import {SWEEP_INTERVAL_MS} from '../../src/chunk-pacer.js';
 
 const KIB = 1024;
 const MIB = 1024 * KIB;
--- a/packages/connections/src/caller-budget.ts
+++ b/packages/connections/src/caller-budget.ts
@@ -2,6 +2,7 @@
  * Bounds the memory that the requests of all callers hold together, and the time in which a body must arrive. It has no clock: each
  * method takes the monotonic time in ms.
  */
+import {ChunkPacer, SWEEP_INTERVAL_MS, type ChunkShare} from './chunk-pacer.js';
 
 /** Memory of a process that serves ordinary load, in bytes. */
 const ORDINARY_BYTES = 110 * 1024 * 1024;
@@ -24,9 +25,6 @@
 /** Bytes that each request may hold regardless of the others: heads and bodies of ordinary requests are smaller. */
 export const FREE_BYTES_PER_REQUEST = 8 * 1024;
 
-/** Interval at which `sweep` is called, in ms. */
-export const SWEEP_INTERVAL_MS = 250;
-
 /** Most time that counts between two sweeps, in ms. More is a pause of the process, in which it could not read. */
 const MAX_COUNTED_GAP_MS = 2 * SWEEP_INTERVAL_MS;
 
@@ -51,15 +49,6 @@
 /** Bytes of chunk sizes, extensions and trailers that are permitted for each byte of a body; chunks of one byte need five. */
 const FRAMING_BYTES_PER_BODY_BYTE = 8;
 
-/** Chunks of bodies that are read between two sweeps, of all requests together; each takes 1 to 3 us, so they take up to 60 of 250 ms. */
-const MAX_CHUNKS_PER_SWEEP = 20_000;
-
-/** Chunks that one request may have between two sweeps in any case: 64 KiB each would be 32 MB. */
-const FREE_CHUNKS_PER_SWEEP = 500;
-
-/** Requests paused for their chunks that are read on at each sweep; one read of 64 KiB has up to 11,000 chunks. */
-const RESUMED_PER_SWEEP = 2;
-
 /** Why a request is refused while it is read: the budget is used up, its body takes too long, or has too many chunk extensions and trailers. */
 export type ReadRefusal = 'body-budget' | 'body-timeout' | 'body-framing';
 
@@ -100,11 +89,10 @@
 
 type Reading = {
 	readonly options: ShareOptions;
+	readonly chunks: ChunkShare;
 	readonly startedAt: number;
 	/** Progress when it was last seen. */
 	bodyBytes: number;
-	/** Chunks since the last sweep. */
-	recentChunks: number;
 	lastByteAt: number;
 	/** Bytes of the head and the body, weighted by how recent they are at `lastByteAt`. */
 	recentBytes: number;
@@ -129,10 +117,7 @@
 	#sweptAt: number | undefined;
 	/** Requests that are being read, the oldest first. */
 	readonly #reading = new Set<Reading>();
-	/** Requests that are not read on for their chunks, those that have waited longest first. */
-	readonly #paused = new Set<Reading>();
-	/** Chunks of all requests since the last sweep. */
-	#recentChunks = 0;
+	readonly #chunks = ChunkPacer.create({isLoneFree: true});
 	readonly #budgetBytes: number;
 
 	private constructor(budgetBytes: number) {
@@ -153,12 +138,12 @@
 	open(options: ShareOptions, now: number): CallerShare {
 		const startedAt = this.#countedAt(now);
 		const reading: Reading = {
-			options, startedAt, bodyBytes: 0, recentChunks: 0, lastByteAt: startedAt, recentBytes: options.headBytes, sharedBytes: 0,
+			options, chunks: this.#chunks.open(options.onResumed), startedAt, bodyBytes: 0, lastByteAt: startedAt, recentBytes: options.headBytes, sharedBytes: 0,
 		};
 		this.#reading.add(reading);
 		return {
 			resize: (bytes, at) => this.#resize(reading, bytes, at),
-			takeChunk: () => this.#takeChunk(reading),
+			takeChunk: reading.chunks.take,
 			refuse: reason => {
 				if (this.#reading.has(reading)) {
 					this.#refuse(reading, reason);
@@ -166,7 +151,7 @@
 			},
 			settle: () => {
 				this.#reading.delete(reading);
-				this.#paused.delete(reading);
+				reading.chunks.close();
 			},
 			release: () => {
 				this.#release(reading);
@@ -179,11 +164,9 @@
 		const counted = this.#countedAt(now);
 		this.#countedMs = counted;
 		this.#sweptAt = now;
-		this.#recentChunks = 0;
 		for (const reading of this.#reading) {
 			observe(reading, counted);
-			reading.recentChunks = 0;
-			if (this.#paused.has(reading)) {
+			if (reading.chunks.isPaused) {
 				// It is not the caller that stalls.
 				reading.lastByteAt = counted;
 			}
@@ -194,21 +177,7 @@
 			}
 		}
 
-		for (const reading of [...this.#paused].slice(0, RESUMED_PER_SWEEP)) {
-			this.#paused.delete(reading);
-			reading.options.onResumed();
-		}
-	}
-
-	#takeChunk(reading: Reading): boolean {
-		this.#recentChunks += 1;
-		reading.recentChunks += 1;
-		const mayReadOn = reading.recentChunks <= FREE_CHUNKS_PER_SWEEP || this.#recentChunks <= MAX_CHUNKS_PER_SWEEP || this.#reading.size === 1;
-		if (!mayReadOn) {
-			this.#paused.add(reading);
-		}
-
-		return mayReadOn;
+		this.#chunks.sweep();
 	}
 
 	#resize(reading: Reading, bodyBytes: number, now: number): boolean {
@@ -256,7 +225,7 @@
 
 	#release(reading: Reading): void {
 		this.#reading.delete(reading);
-		this.#paused.delete(reading);
+		reading.chunks.close();
 		this.#usedBytes -= reading.sharedBytes;
 		reading.sharedBytes = 0;
 	}
--- a/packages/connections/src/index.ts
+++ b/packages/connections/src/index.ts
@@ -5,12 +5,13 @@
 	dropBody, readCallerBody, type BodyEnd, type CallerBody, type CallerBodyOptions,
 } from './caller-body.js';
 export {
-	CallerBudget, callerBudgetBytes, SWEEP_INTERVAL_MS, type ReadRefusal, type SweepLimits,
+	CallerBudget, callerBudgetBytes, type ReadRefusal, type SweepLimits,
 } from './caller-budget.js';
 export {CallerConnections, type CallerConnectionsOptions} from './caller-connections.js';
 export {
 	CallerConnection, UndrainedConnections, type CallerConnectionOptions, type CloseWish,
 } from './caller-connection.js';
+export {SWEEP_INTERVAL_MS} from './chunk-pacer.js';
 export {
 	ConnectionBound, DEFAULT_OPEN_FILES, maxCallerConnections, type ConnectionUse, type MachineLimits,
 } from './connection-bound.js';
--- a/packages/connections/src/message-bound.ts
+++ b/packages/connections/src/message-bound.ts
@@ -4,8 +4,9 @@
  */
 import type {Socket} from 'node:net';
 import {
-	CallerBudget, callerBudgetBytes, FREE_BYTES_PER_REQUEST, SWEEP_INTERVAL_MS, type CallerShare,
+	CallerBudget, callerBudgetBytes, FREE_BYTES_PER_REQUEST, type CallerShare,
 } from './caller-budget.js';
+import {SWEEP_INTERVAL_MS} from './chunk-pacer.js';
 import {ConnectionBound, type ConnectionUse} from './connection-bound.js';
 import {ReadPacer} from './read-pacer.js';
 import {guardCallback, type ErrorListener} from '#core';
