Pace the small chunks of endpoints' responses

Cause: each of some 290,000 chunks a second of one link costs a pass through the parser and its listeners, and responses were bounded by bytes alone.

ChunkPacer, which the bodies of callers already use, now paces responses, too.

--- a/packages/connections/src/buffer-budget.ts
+++ b/packages/connections/src/buffer-budget.ts
@@ -1,4 +1,7 @@
-/** Bounds the bytes of responses that an entry buffers for all its requests together. */
+/** Bounds the bytes of responses that an entry buffers for all its requests together, and the small chunks that it reads of them. */
+import type {IncomingMessage} from 'node:http';
+import {ChunkPacer} from './chunk-pacer.js';
+import {ResponseChunks} from './response-chunks.js';
 import {PiecePool} from '#core';
 
 /** Bytes that each response may hold regardless of the others, so that endless responses don't displace ordinary ones. */
@@ -14,6 +17,7 @@
 
 	/** Memory for the bodies and events that are buffered. */
 	readonly pieces = PiecePool.create();
+	readonly #chunks = ChunkPacer.create({isLoneFree: false});
 	#usedBytes = 0;
 	readonly #sharedBytes: number;
 
@@ -26,6 +30,16 @@
 		return this.#usedBytes;
 	}
 
+	/** Paces the chunks of a response. */
+	openChunks(res: IncomingMessage): ResponseChunks {
+		return ResponseChunks.create(res, this.#chunks);
+	}
+
+	/** Reads on responses that are paused for their chunks; called every `SWEEP_INTERVAL_MS`. */
+	sweep(): void {
+		this.#chunks.sweep();
+	}
+
 	/** The part of one response, which starts empty. */
 	open(): BufferShare {
 		let held = 0;
--- a/packages/connections/src/caller-body.ts
+++ b/packages/connections/src/caller-body.ts
@@ -1,6 +1,7 @@
 /** Reads the body of a caller's request into memory that the budget for callers counts. */
 import type {IncomingMessage} from 'node:http';
 import {FREE_BYTES_PER_REQUEST, type CallerBudget, type ReadRefusal} from './caller-budget.js';
+import {pauseReading, readOn} from './paused-reading.js';
 import type {ReadPacer} from './read-pacer.js';
 import {announcedBytes, BodyBuffer, type PiecePool} from '#core';
 
@@ -145,21 +146,6 @@
 	});
 }
 
-/** Stops reading from the connection. A paused request would go on to buffer what was read already, each chunk by itself. */
-function pauseReading(req: IncomingMessage): void {
-	// Node reads on whenever the request asks for more.
-	req._read = () => undefined;
-	req.socket.pause();
-}
-
-/** Reads on from a connection that was paused. */
-function readOn(req: IncomingMessage): void {
-	if (Object.hasOwn(req, '_read')) {
-		Reflect.deleteProperty(req, '_read');
-		req.socket.resume();
-	}
-}
-
 /** Bytes of the head of a request. */
 function headBytes({url = '', rawHeaders}: IncomingMessage): number {
 	return rawHeaders.reduce((sum, text) => sum + text.length, url.length);
--- a/packages/connections/src/chunk-pacer.ts
+++ b/packages/connections/src/chunk-pacer.ts
@@ -48,11 +48,6 @@
 		this.#isLoneFree = isLoneFree;
 	}
 
-	/** Whether the next sweep changes anything. */
-	get needsSweep(): boolean {
-		return this.#recentChunks > 0 || this.#paused.size > 0;
-	}
-
 	/** @param onResumed - Called when a body that was paused is to be read on. */
 	open(onResumed: () => void): ChunkShare {
 		const source: Source = {recentChunks: 0, onResumed};
--- a/packages/connections/src/exchange.ts
+++ b/packages/connections/src/exchange.ts
@@ -3,6 +3,7 @@
 import type {Socket} from 'node:net';
 import type {BufferBudget} from './buffer-budget.js';
 import type {ConnectionPool, ConnectionTarget} from './connection-pool.js';
+import type {ResponseChunks} from './response-chunks.js';
 import {announcedBytes, BodyBuffer, bodyFramingOf} from '#core';
 
 /** The head of a response, or why there is none. */
@@ -123,14 +124,16 @@
 /** Reads a complete body. Returns undefined if it is truncated or exceeds a limit. */
 export async function readResponseBody(exchange: BodyExchange, res: IncomingMessage, {maxBytes, buffers}: BodyLimits): Promise<Uint8Array | undefined> {
 	const share = buffers.open();
+	const chunks = buffers.openChunks(res);
 	const body = BodyBuffer.create(announcedBytes(res.headers), buffers.pieces);
 	try {
 		const isRead = await readInto(body, {
-			exchange, res, maxBytes, reserve: share.resize,
+			exchange, res, chunks, maxBytes, reserve: share.resize,
 		});
 		return isRead ? body.take() : undefined;
 	} finally {
 		body.clear();
+		chunks.close();
 		share.release();
 	}
 }
@@ -138,15 +141,17 @@
 type BodyReading = {
 	readonly exchange: BodyExchange;
 	readonly res: IncomingMessage;
+	readonly chunks: ResponseChunks;
 	readonly maxBytes: number;
 	/** Returns whether the body may hold `bytes`. */
 	readonly reserve: (bytes: number) => boolean;
 };
 
 /** Returns whether the whole body was read. */
-async function readInto(body: BodyBuffer, {exchange, res, maxBytes, reserve}: BodyReading): Promise<boolean> {
+async function readInto(body: BodyBuffer, {exchange, res, chunks, maxBytes, reserve}: BodyReading): Promise<boolean> {
 	return new Promise(resolve => {
 		const onData = (chunk: Uint8Array) => {
+			chunks.take();
 			if (body.bytes + chunk.length > maxBytes || !body.append(chunk, reserve)) {
 				res.off('data', onData);
 				resolve(false);
--- /dev/null
+++ b/packages/connections/src/response-chunks.ts
@@ -0,0 +1,31 @@
+/** Paces the chunks of one response of an endpoint. */
+import type {IncomingMessage} from 'node:http';
+import type {ChunkPacer} from './chunk-pacer.js';
+import {pauseReading, readOn} from './paused-reading.js';
+
+export class ResponseChunks {
+	static create(res: IncomingMessage, pacer: ChunkPacer): ResponseChunks {
+		return new ResponseChunks(res, pacer);
+	}
+
+	/** Notes that a chunk was read; the connection may not be read on for a while. */
+	readonly take: () => void;
+	/** Notes that the response has ended or is given up. Its connection may serve further requests. */
+	readonly close: () => void;
+
+	private constructor(res: IncomingMessage, pacer: ChunkPacer) {
+		const share = pacer.open(() => {
+			readOn(res);
+		});
+		this.take = () => {
+			if (!share.take()) {
+				pauseReading(res);
+			}
+		};
+
+		this.close = () => {
+			share.close();
+			readOn(res);
+		};
+	}
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,7 +18,9 @@
 import type {RequestHandlerContext} from './request-handler.js';
 import {Shutdown} from './shutdown.js';
 import {serveStatus, type StatusResponse} from './status-server.js';
-import {BufferBudget, ConnectionPool, type MachineLimits} from '#connections';
+import {
+	BufferBudget, ConnectionPool, SWEEP_INTERVAL_MS, type MachineLimits,
+} from '#connections';
 import {RetryBudget} from '#coordination';
 import {
 	guardCallback, sleep, startUnlessAborted, superviseTask, type Address,
@@ -308,7 +310,11 @@
 			this.#context.limitGuard.noteEntries();
 			this.#callerServer?.setIdleTimeout(this.config.current?.limits.idleTimeoutMs ?? 60_000);
 		}, this.#events.errorListener('maintenance')), 250);
+		const chunksTimer = setInterval(guardCallback(() => {
+			this.#context.buffers.sweep();
+		}, this.#events.errorListener('responses')), SWEEP_INTERVAL_MS);
 		signal.addEventListener('abort', () => {
+			clearInterval(chunksTimer);
 			clearInterval(maintenanceTimer);
 		}, {once: true});
 		// The last step that can fail or wait: no request is taken by an entry that does not start.
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -46,6 +46,7 @@
 
 export async function relayStream({res, exchange, callerResponse, head, progress, isResumable, silenceMs, signal, buffers, claim, onSilent, onFirstEvent, onGap, onPaused}: RelayInput): Promise<RelayResult> {
 	const share = buffers.open();
+	const chunks = buffers.openChunks(res);
 	const splitter = EventSplitter.create(progress.lastEventId, isResumable || progress.lastEventId !== undefined, buffers.pieces);
 	let lastEventAt: number | undefined;
 	let isClaimed = false;
@@ -59,6 +60,7 @@
 		const stopListening = () => {
 			isFinished = true;
 			share.release();
+			chunks.close();
 			clearTimeout(silenceTimer);
 			signal.removeEventListener('abort', onAbort);
 			res.off('data', onSourceData).off('end', onSourceEnd).off('close', onClose);
@@ -89,6 +91,7 @@
 
 		const onData = (chunk: Uint8Array) => {
 			progress.lastByteAt = performance.now();
+			chunks.take();
 			const {bytes, count, fault} = splitter.push(chunk);
 			if (count > 0) {
 				if (!claimCaller()) {
