Count the events and comments of a stream with its chunks

Cause: each event, comment or blank line costs about as much as a chunk, and the pacing counted chunks alone. They count alike now.

The fake response of response-chunks.test.ts moves to the harness; its checks are unchanged.

--- a/packages/connections/__tests__/unit/response-chunks.test.ts
+++ b/packages/connections/__tests__/unit/response-chunks.test.ts
@@ -1,10 +1,9 @@
 /** How many small chunks of responses are read at a time; guards against an entry that has no time for other requests. */
 import {Buffer} from 'node:buffer';
-import {IncomingMessage} from 'node:http';
-import {Socket} from 'node:net';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import t, {type Test} from 'tap';
 import {BufferBudget, readResponseBody} from '#connections';
+import {ScriptedResponse} from '#harness';
 
 /** Chunks of one read of the socket, which cannot be interrupted. */
 const CHUNKS_PER_READ = 1000;
@@ -14,14 +13,13 @@
 
 const MIB = 1024 * 1024;
 
-/** An exchange whose response is read until it is given up. */
-class OpenResponse {
-	static create(buffers: BufferBudget): OpenResponse {
-		return new OpenResponse(buffers);
+/** A response whose body is read until it is given up. */
+class ReadResponse {
+	static create(buffers: BufferBudget): ReadResponse {
+		return new ReadResponse(buffers);
 	}
 
-	readonly socket = new Socket();
-	readonly res = new IncomingMessage(this.socket);
+	readonly source = ScriptedResponse.create();
 	readonly body: Promise<Uint8Array | undefined>;
 	isGivenUp = false;
 
@@ -31,35 +29,26 @@
 				this.isGivenUp = true;
 			},
 			checkIsBroken: async () => false,
-		}, this.res, {maxBytes: 8 * MIB, buffers});
-		// As the socket of a connection does.
-		this.socket.resume();
+		}, this.source.res, {maxBytes: 8 * MIB, buffers});
 	}
 
-	/** Reads once from the socket, unless that is paused. Returns the number of chunks that were read. */
-	read(chunkBytes: number): number {
-		if (this.socket.isPaused() || this.isGivenUp) {
-			return 0;
-		}
-
-		for (let i = 0; i < CHUNKS_PER_READ; i += 1) {
-			this.res.push(new Uint8Array(chunkBytes));
-		}
-
-		return CHUNKS_PER_READ;
+	get isPaused(): boolean {
+		return this.source.socket.isPaused();
 	}
 
-	end(): void {
-		this.res.complete = true;
-		this.res.push(null);
+	/** Reads once from the socket. Returns the number of chunks. */
+	read(): number {
+		const chunks = Array.from({length: CHUNKS_PER_READ}, () => new Uint8Array(10));
+		return !this.isGivenUp && this.source.read(chunks) ? CHUNKS_PER_READ : 0;
 	}
 }
 
-async function readRounds(responses: readonly OpenResponse[], {rounds, chunkBytes}: {readonly rounds: number; readonly chunkBytes: number}): Promise<number> {
+/** Reads from all responses by turns. Returns the number of chunks. */
+async function readRounds(responses: readonly ReadResponse[], rounds: number): Promise<number> {
 	let chunks = 0;
 	for (let round = 0; round < rounds; round += 1) {
 		for (const response of responses) {
-			chunks += response.read(chunkBytes);
+			chunks += response.read();
 		}
 
 		await nextTurn();
@@ -68,6 +57,16 @@
 	return chunks;
 }
 
+/** Checks that a response of ordinary size is read at once. */
+async function checkOrdinary(t: Test, buffers: BufferBudget): Promise<void> {
+	const {source, body} = ReadResponse.create(buffers);
+	source.read([Buffer.from('done')]);
+	source.end();
+	const bytes = await body;
+	t.equal(Buffer.from(bytes ?? []).toString(), 'done');
+	t.notOk(source.socket.isPaused());
+}
+
 const floods = [
 	{name: 'one response', count: 1},
 	{name: 'many responses', count: 30},
@@ -76,8 +75,8 @@
 for (const {name, count} of floods) {
 	await t.test(`small chunks of ${name} are not read on without an end`, async t => {
 		const buffers = BufferBudget.create();
-		const responses = Array.from({length: count}, () => OpenResponse.create(buffers));
-		const chunks = await readRounds(responses, {rounds: 100, chunkBytes: 10});
+		const responses = Array.from({length: count}, () => ReadResponse.create(buffers));
+		const chunks = await readRounds(responses, 100);
 		t.ok(chunks <= MAX_CHUNKS + (count * CHUNKS_PER_READ), `${chunks} chunks are read`);
 		await checkOrdinary(t, buffers);
 	});
@@ -85,17 +84,17 @@
 
 await t.test('responses that are paused are read on in turn, and are whole', async t => {
 	const buffers = BufferBudget.create();
-	const responses = Array.from({length: 30}, () => OpenResponse.create(buffers));
-	await readRounds(responses, {rounds: 30, chunkBytes: 10});
-	const paused = responses.filter(({socket}) => socket.isPaused());
+	const responses = Array.from({length: 30}, () => ReadResponse.create(buffers));
+	await readRounds(responses, 30);
+	const paused = responses.filter(({isPaused}) => isPaused);
 	t.ok(paused.length > 0, `${paused.length} are paused`);
 	for (const _ of paused) {
 		buffers.sweep();
 	}
 
-	t.same(paused.filter(({socket}) => socket.isPaused()), []);
-	for (const response of responses) {
-		response.end();
+	t.same(paused.filter(({isPaused}) => isPaused), []);
+	for (const {source} of responses) {
+		source.end();
 	}
 
 	const bodies = await Promise.all(responses.map(async ({body}) => body));
@@ -104,20 +103,10 @@
 
 await t.test('the connection of a response that ends while it is paused is read on', async t => {
 	const buffers = BufferBudget.create();
-	const response = OpenResponse.create(buffers);
-	await readRounds([response], {rounds: 30, chunkBytes: 10});
-	t.ok(response.socket.isPaused());
-	response.end();
+	const response = ReadResponse.create(buffers);
+	await readRounds([response], 30);
+	t.ok(response.isPaused);
+	response.source.end();
 	t.not(await response.body, undefined);
-	t.notOk(response.socket.isPaused());
+	t.notOk(response.isPaused);
 });
-
-/** Checks that a response of ordinary size is read at once. */
-async function checkOrdinary(t: Test, buffers: BufferBudget): Promise<void> {
-	const {res, body, socket} = OpenResponse.create(buffers);
-	res.push(Buffer.from('done'));
-	res.complete = true;
-	res.push(null);
-	t.equal(Buffer.from(await body ?? []).toString(), 'done');
-	t.notOk(socket.isPaused());
-}
--- a/packages/connections/src/caller-budget.ts
+++ b/packages/connections/src/caller-budget.ts
@@ -143,7 +143,7 @@
 		this.#reading.add(reading);
 		return {
 			resize: (bytes, at) => this.#resize(reading, bytes, at),
-			takeChunk: reading.chunks.take,
+			takeChunk: () => reading.chunks.take(),
 			refuse: reason => {
 				if (this.#reading.has(reading)) {
 					this.#refuse(reading, reason);
--- a/packages/connections/src/chunk-pacer.ts
+++ b/packages/connections/src/chunk-pacer.ts
@@ -19,8 +19,8 @@
 export type ChunkShare = {
 	/** Whether the body is not read on. */
 	readonly isPaused: boolean;
-	/** Notes that a chunk was read. Returns false if reading is to be paused until `onResumed`. */
-	readonly take: () => boolean;
+	/** Notes that one chunk was read, or what costs as much as `count` of them. Returns false if reading is to be paused until `onResumed`. */
+	readonly take: (count?: number) => boolean;
 	/** Notes that the body has ended. */
 	readonly close: () => void;
 };
@@ -57,7 +57,7 @@
 			get isPaused() {
 				return paused.has(source);
 			},
-			take: () => this.#take(source),
+			take: (count = 1) => this.#take(source, count),
 			close: () => {
 				this.#sources.delete(source);
 				paused.delete(source);
@@ -77,13 +77,13 @@
 		}
 	}
 
-	#take(source: Source): boolean {
+	#take(source: Source, count: number): boolean {
 		if (!this.#sources.has(source)) {
 			return true;
 		}
 
-		this.#recentChunks += 1;
-		source.recentChunks += 1;
+		this.#recentChunks += count;
+		source.recentChunks += count;
 		const mayReadOn = source.recentChunks <= FREE_CHUNKS_PER_SWEEP || this.#recentChunks <= MAX_CHUNKS_PER_SWEEP || (this.#isLoneFree && this.#sources.size === 1);
 		if (!mayReadOn) {
 			this.#paused.add(source);
--- a/packages/connections/src/response-chunks.ts
+++ b/packages/connections/src/response-chunks.ts
@@ -8,8 +8,12 @@
 		return new ResponseChunks(res, pacer);
 	}
 
-	/** Notes that a chunk was read; the connection may not be read on for a while. */
-	readonly take: () => void;
+	/**
+	 * Notes that a chunk was read; the connection may not be read on for a while.
+	 *
+	 * @param parts - What counts as a chunk each: the chunk, and each event or comment in it.
+	 */
+	readonly take: (parts?: number) => void;
 	/** Notes that the response has ended or is given up. Its connection may serve further requests. */
 	readonly close: () => void;
 
@@ -17,8 +21,8 @@
 		const share = pacer.open(() => {
 			readOn(res);
 		});
-		this.take = () => {
-			if (!share.take()) {
+		this.take = parts => {
+			if (!share.take(parts)) {
 				pauseReading(res);
 			}
 		};
--- a/packages/dispatch/src/event-splitter.ts
+++ b/packages/dispatch/src/event-splitter.ts
@@ -12,6 +12,8 @@
 	readonly bytes: Uint8Array;
 	/** Number of events in `bytes`, without comments. */
 	readonly count: number;
+	/** Number of events, comments and blank lines that were looked at, forwarded or not. */
+	readonly blocks: number;
 	/** Why what follows `bytes` is not the continuation of the stream; undefined if it may be. */
 	readonly fault: string | undefined;
 };
@@ -70,16 +72,20 @@
 	push(chunk: Uint8Array): SplitEvents {
 		if (this.pendingBytes > 0 && !this.#completesEvent(chunk)) {
 			this.#hold(chunk);
-			return {bytes: new Uint8Array(0), count: 0, fault: this.#fault};
+			return {
+				bytes: new Uint8Array(0), count: 0, blocks: 0, fault: this.#fault,
+			};
 		}
 
 		let data = this.pendingBytes === 0 ? Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength) : Buffer.concat([this.#pending.take(), chunk]);
 		const forwarded: Uint8Array[] = [];
 		let count = 0;
+		let blocks = 0;
 		for (let end = findEventEnd(data); end !== -1 && this.#fault === undefined; end = findEventEnd(data)) {
 			const bytes = data.subarray(0, end);
 			data = data.subarray(end);
 			const block = parseBlock(bytes);
+			blocks += 1;
 			if (this.#accept(block)) {
 				forwarded.push(bytes);
 				count += block.kind === 'event' ? 1 : 0;
@@ -88,7 +94,9 @@
 
 		this.#lineState = 'inside-line';
 		this.#hold(data);
-		return {bytes: forwarded.length === 1 ? forwarded[0]! : Buffer.concat(forwarded), count, fault: this.#fault};
+		return {
+			bytes: forwarded.length === 1 ? forwarded[0]! : Buffer.concat(forwarded), count, blocks, fault: this.#fault,
+		};
 	}
 
 	#hold(bytes: Uint8Array): void {
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -18,7 +18,7 @@
 
 export type RelayInput = {
 	readonly res: IncomingMessage;
-	readonly exchange: Exchange;
+	readonly exchange: Pick<Exchange, 'abort' | 'checkIsBroken' | 'isBroken'>;
 	readonly callerResponse: CallerResponse;
 	/** Head for the caller, sent with the first event unless the head of another endpoint's stream was sent. */
 	readonly head: readonly string[];
@@ -91,8 +91,8 @@
 
 		const onData = (chunk: Uint8Array) => {
 			progress.lastByteAt = performance.now();
-			chunks.take();
-			const {bytes, count, fault} = splitter.push(chunk);
+			const {bytes, count, blocks, fault} = splitter.push(chunk);
+			chunks.take(1 + blocks);
 			if (count > 0) {
 				if (!claimCaller()) {
 					return;
--- a/packages/harness/src/index.ts
+++ b/packages/harness/src/index.ts
@@ -23,3 +23,4 @@
 export {ProcessUsage, type ProcessPeak} from './process-usage.js';
 export {collectGarbage, measureHeldBytes} from './collect-garbage.js';
 export {countCopiedBytes, type CopiedBytes} from './copied-bytes.js';
+export {ScriptedResponse} from './scripted-response.js';
