--- a/packages/connections/src/index.ts
+++ b/packages/connections/src/index.ts
@@ -19,5 +19,6 @@
 export {
 	Exchange, isUnframed, readResponseBody, type BodyLimits, type ExchangeHead, type OutgoingRequest, type ResponseBody,
 } from './exchange.js';
+export {LimitedBody, type BodyExcess} from './limited-body.js';
 export {MessageBound, type MessageBoundOptions, type MessageCounter} from './message-bound.js';
 export {ReadPacer} from './read-pacer.js';
--- a/packages/core/src/body-buffer.ts
+++ b/packages/core/src/body-buffer.ts
@@ -28,7 +28,7 @@
 
 export class BodyBuffer {
 	/** @param announcedBytes - Length of the body; undefined if it is not known. */
-	static create(announcedBytes: number | undefined, pool: PiecePool): BodyBuffer {
+	static create(announcedBytes: number | undefined, pool = PiecePool.create()): BodyBuffer {
 		return new BodyBuffer(announcedBytes, pool);
 	}
 
