Limit the fragments of an answer between processes

RequestClient took an answer in up to 16,384 fragments and 262,144 parts, the defaults of the WebSocket library; each is a buffer of its own. Its server has limits already.

--- a/packages/links/src/request-client.ts
+++ b/packages/links/src/request-client.ts
@@ -1,12 +1,15 @@
 /** Request-response client over a WebSocket that is opened on demand; frames are MessagePack. */
 import {pack, unpack} from 'msgpackr';
 import {WebSocket} from 'ws';
-import {MAX_FRAME_BYTES} from './request-server.js';
+import {MAX_FRAME_BYTES, MAX_FRAME_PARTS} from './request-server.js';
 import {failed, ok, type Result} from '#core';
 
 /** Time limit for establishing a connection, in ms. */
 const CONNECT_TIMEOUT_MS = 500;
 
+/** Fragments of an answer. Our servers send one; small ones take far more memory than their bytes. */
+const MAX_FRAGMENTS = 16;
+
 /** After this many consecutive unanswered requests the connection is closed; the next request opens a new one. */
 const MAX_UNANSWERED = 2;
 
@@ -78,7 +81,9 @@
 			return this.#socket;
 		}
 
-		const socket = new WebSocket(`ws://${this.#address}`, {handshakeTimeout: CONNECT_TIMEOUT_MS, perMessageDeflate: false, maxPayload: MAX_FRAME_BYTES});
+		const socket = new WebSocket(`ws://${this.#address}`, {
+			handshakeTimeout: CONNECT_TIMEOUT_MS, perMessageDeflate: false, maxPayload: MAX_FRAME_BYTES, maxFragments: MAX_FRAGMENTS, maxBufferedChunks: MAX_FRAME_PARTS,
+		});
 		this.#socket = socket;
 		this.#unansweredInRow = 0;
 		socket.on('message', data => {
--- a/packages/links/src/request-server.ts
+++ b/packages/links/src/request-server.ts
@@ -12,7 +12,7 @@
 export const MAX_FRAME_BYTES = 4 * 1024 * 1024;
 
 /** Parts in which a frame may be received: those of 1.4 KB that the largest one has on a usual network, and some more. */
-const MAX_FRAME_PARTS = 4096;
+export const MAX_FRAME_PARTS = 4096;
 
 /** Share of the machine's descriptors for connections to this server. */
 const CONNECTIONS_SHARE = 0.1;
