Limit the reports of the own engine

EngineClient collected reports and answers to orders without any limit but its timeout of 2 s: 67 MB were sent to it in that time, all that the test sends. They may have 8 MiB now, and are copied as the answers of the store. endless-responses.test.ts failed before in both cases (timeout, 67 MB sent); 12 MB are sent now. Chunks of one byte were ruled out as a cause: reading by an async iterator joins what the socket has received.

--- a/packages/engine/src/engine-client.ts
+++ b/packages/engine/src/engine-client.ts
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {z} from 'zod';
 import {Backend, type BackendResponse, type BackendRequest} from './backend.js';
+import {LimitedBody} from '#connections';
 import {type EngineOrder, type EngineState, type OrderResponse} from '#expertmap';
 import {
 	failed, ok, type Result,
@@ -48,6 +49,9 @@
 /** Timeout of requests to the engine other than callers' requests. */
 const CONTROL_TIMEOUT_MS = 2000;
 
+/** Longest response to these, in bytes. */
+const MAX_CONTROL_RESPONSE_BYTES = 8 * 1024 * 1024;
+
 /** Client of one model engine. */
 export class EngineClient {
 	/** @param url - Base URL of the engine on loopback. */
@@ -126,12 +130,15 @@
 		}
 
 		try {
-			const chunks: Uint8Array[] = [];
+			const body = LimitedBody.create({}, MAX_CONTROL_RESPONSE_BYTES);
 			for await (const chunk of res.body) {
-				chunks.push(chunk);
+				const excess = body.append(chunk);
+				if (excess !== undefined) {
+					return failed(`${method} ${path}: response ${excess}`);
+				}
 			}
 
-			const parsed = schema.safeParse(JSON.parse(Buffer.concat(chunks).toString('utf8')));
+			const parsed = schema.safeParse(JSON.parse(new TextDecoder().decode(body.take())));
 			return parsed.success ? ok(parsed.data) : failed(`${method} ${path}: unexpected response with status ${res.status}`);
 		} catch {
 			return failed(`${method} ${path}: unreadable response with status ${res.status}`);
