--- a/packages/entry/src/caller-response.ts
+++ b/packages/entry/src/caller-response.ts
@@ -5,6 +5,7 @@
 import {Buffer} from 'node:buffer';
 import {type ServerResponse} from 'node:http';
 import {renderRefusal, type Refusal} from './refusal.js';
+import {BodyBuffer} from '#core';
 import {Checksum} from '#protocol';
 
 const EVENT_STREAM_TYPE = 'text/event-stream';
@@ -36,7 +37,8 @@
 	readonly #options: CallerResponseOptions;
 	#checksum = Checksum.create();
 	#head: ResponseHead | undefined;
-	#chunks: Uint8Array[] = [];
+	/** Body of a response that is not streamed. */
+	readonly #body = BodyBuffer.create(undefined);
 	#streaming = false;
 	#progressAt = 0;
 
@@ -89,7 +91,7 @@
 
 		this.#head = head;
 		this.#progressAt = performance.now();
-		this.#chunks = [];
+		this.#body.clear();
 		this.#checksum = Checksum.create();
 		if ((head.headers['content-type'] ?? '').startsWith(EVENT_STREAM_TYPE)) {
 			this.#streaming = true;
@@ -102,7 +104,7 @@
 		this.#progressAt = performance.now();
 		this.#checksum.add(data);
 		if (!this.#streaming) {
-			this.#chunks.push(data);
+			this.#body.append(data);
 			this.#options.onDelivered(this.#checksum.bytes);
 			return;
 		}
@@ -122,15 +124,15 @@
 			return undefined;
 		}
 
-		const response = this.buffered();
+		const response = this.takeBuffered();
 		this.send(response);
 		return response;
 	}
 
-	/** The buffered response so far, without sending it; status 502 if no head was received. */
-	buffered(): BufferedResponse {
+	/** Returns the buffered response so far without sending it, and keeps none of its body; status 502 if no head was received. */
+	takeBuffered(): BufferedResponse {
 		const head = this.#head ?? {status: 502, headers: {}};
-		return {...head, body: Buffer.concat(this.#chunks)};
+		return {...head, body: this.#body.take()};
 	}
 
 	/** Sends a buffered response. */
--- a/packages/entry/src/service-request.ts
+++ b/packages/entry/src/service-request.ts
@@ -167,7 +167,7 @@
 
 			case 'result': {
 				if (end.result.kind === 'done') {
-					return {kind: 'end', result: response.streaming ? {kind: 'streamed'} : {kind: 'answered', response: response.buffered()}};
+					return {kind: 'end', result: response.streaming ? {kind: 'streamed'} : {kind: 'answered', response: response.takeBuffered()}};
 				}
 
 				this.#recordFailure(end.result, end.replica);
