Leave a connection alone once its response has ended

Two faults at the end of an exchange, the first since small chunks are paced:

- A body that ended while its connection was paused failed with "Cannot read properties of null": Node takes the socket from a response at its end.
- Exchange.abort closed the connection also after it was given back to the pool, where it may serve another request.

connection-pool.test.ts: before, two of the three new cases failed with the null; without the check in abort all three do.

--- a/packages/connections/__tests__/unit/connection-pool.test.ts
+++ b/packages/connections/__tests__/unit/connection-pool.test.ts
@@ -4,6 +4,7 @@
 import process from 'node:process';
 import t from 'tap';
 import {ConnectionPool} from '../../src/connection-pool.js';
+import {BufferBudget, Exchange, readResponseBody} from '#connections';
 import {sleep} from '#core';
 
 /** Longer than the timeout for establishing a connection, in ms. */
@@ -88,3 +89,58 @@
 	await sleep(100);
 	t.equal(open, 0);
 });
+
+const endings = [
+	{name: 'a short body', chunks: 1},
+	{name: 'a body that is paused for its chunks near its end', chunks: 21_000},
+	{name: 'a body that is paused for its chunks before', chunks: 40_000},
+] as const;
+
+for (const {name, chunks} of endings) {
+	await t.test(`the connection serves the next request after ${name}, and is not closed by the end of the first`, async t => {
+		const server = createServer(socket => {
+			socket.on('error', () => undefined).on('data', () => {
+				socket.write(`HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${'4\r\nbody\r\n'.repeat(chunks)}0\r\n\r\n`);
+			});
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		const stop = new AbortController();
+		const buffers = BufferBudget.create();
+		const timer = setInterval(() => {
+			buffers.sweep();
+		}, 20);
+		t.teardown(() => {
+			clearInterval(timer);
+			stop.abort();
+			server.close();
+		});
+		const pool = ConnectionPool.create(() => performance.now(), stop.signal);
+		const target = {id: 'e1', address: `127.0.0.1:${(server.address() as AddressInfo).port}`};
+		const send = async () => {
+			const opened = await pool.acquire(target, {isNewRequired: false, timeoutMs: 1000});
+			if (opened.kind === 'failed') {
+				throw new Error(opened.reason);
+			}
+
+			const exchange = Exchange.create(target, opened.socket, pool, {
+				method: 'GET', path: '/', headers: ['Host', 'h'], body: new Uint8Array(),
+			});
+			const head = await exchange.head;
+			if (head.kind === 'broken') {
+				throw new Error(head.reason);
+			}
+
+			const body = await readResponseBody(exchange, head.res, {maxBytes: 1_000_000, buffers});
+			return {exchange, isReused: opened.isReused, bytes: body.kind === 'complete' ? body.body.length : 0};
+		};
+
+		const first = await send();
+		t.equal(first.bytes, 4 * chunks);
+		await sleep(20);
+		const second = send();
+		await sleep(0);
+		first.exchange.abort();
+		t.match(await second, {isReused: true, bytes: 4 * chunks});
+	});
+}
--- a/packages/connections/src/exchange.ts
+++ b/packages/connections/src/exchange.ts
@@ -33,6 +33,8 @@
 	readonly #req: ClientRequest;
 	readonly #socket: Socket;
 	#hasFailed = false;
+	/** Whether the connection may serve another request already. */
+	#isReleased = false;
 	#endCheck: Promise<void> | undefined;
 
 	private constructor(target: ConnectionTarget, socket: Socket, pool: ConnectionPool, outgoing: OutgoingRequest) {
@@ -66,6 +68,7 @@
 			this.#req.once('close', () => {
 				resolve({kind: 'broken', reason: 'closed'});
 				const isClean = response?.complete === true && this.#req.shouldKeepAlive && this.#req.writableFinished && !this.#hasFailed;
+				this.#isReleased = isClean;
 				if (isClean) {
 					pool.release(target, socket, keepAliveTimeoutMs(response?.headers['keep-alive']));
 				} else {
@@ -87,8 +90,12 @@
 		return this.#hasFailed;
 	}
 
-	/** Closes the connection; the endpoint drops the request. */
+	/** Closes the connection, unless the response was received to its end; the endpoint drops the request. */
 	abort(): void {
+		if (this.#isReleased) {
+			return;
+		}
+
 		this.#hasFailed = true;
 		this.#req.destroy();
 		this.#socket.destroy();
@@ -175,6 +182,7 @@
 		let hasEnded = false;
 		res.once('end', () => {
 			hasEnded = true;
+			chunks.close();
 			void exchange.checkIsBroken().then(isBroken => {
 				resolve(res.complete && !isBroken ? undefined : 'truncated');
 			});
--- a/packages/connections/src/index.ts
+++ b/packages/connections/src/index.ts
@@ -21,4 +21,5 @@
 } from './exchange.js';
 export {LimitedBody, type BodyExcess} from './limited-body.js';
 export {MessageBound, type MessageBoundOptions, type MessageCounter} from './message-bound.js';
+export {pauseReading, readOn} from './paused-reading.js';
 export {ReadPacer} from './read-pacer.js';
