Read the lines of an event without a string for each

Cause: a string and up to five matches of regular expressions for each line of an event.

parseBlock looks at the bytes in one pass.

--- a/packages/dispatch/src/event-splitter.ts
+++ b/packages/dispatch/src/event-splitter.ts
@@ -4,6 +4,7 @@
  */
 
 import {Buffer} from 'node:buffer';
+import {parseBlock, type Block} from './event-block.js';
 import {BodyBuffer, PiecePool} from '#core';
 
 /** The events of a chunk that are to be forwarded. */
@@ -18,24 +19,12 @@
 	readonly fault: string | undefined;
 };
 
-/** What a block of lines in a stream is. */
-type Block
-	= | {readonly kind: 'event'; readonly id: number | undefined}
-		/** A comment, or blank lines. */
-		| {readonly kind: 'comment'}
-		| {readonly kind: 'malformed'};
-
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
 
 /** How the bytes before a chunk end, as far as a blank line may begin there. */
 type LineState = 'line-end' | 'line-end-and-return' | 'inside-line';
 
-const ID_FIELD = /^id: ?(\d+)$/u;
-
-/** A field with a value, or one of those that may stand without a colon. A status line of HTTP is neither. */
-const FIELD_LINE = /^(?:[\w-]+:|(?:data|event|id|retry)$)/u;
-
 export class EventSplitter {
 	/**
 	 * @param lastId - Id of the last event that the caller has; events up to it are dropped, and the next one must follow it.
@@ -154,20 +143,6 @@
 	}
 }
 
-function parseBlock(bytes: Uint8Array): Block {
-	const lines = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength).toString('latin1').split(/\r?\n/u).filter(line => line !== '' && !line.startsWith(':'));
-	if (lines.length === 0) {
-		return {kind: 'comment'};
-	}
-
-	if (!lines.every(line => FIELD_LINE.test(line))) {
-		return {kind: 'malformed'};
-	}
-
-	const digits = lines.map(line => ID_FIELD.exec(line)?.[1]).find(match => match !== undefined);
-	return {kind: 'event', id: digits === undefined ? undefined : Number(digits)};
-}
-
 /** Offset after the first blank line, or -1. */
 function findEventEnd(data: Uint8Array): number {
 	for (let at = data.indexOf(LINE_FEED); at !== -1; at = data.indexOf(LINE_FEED, at + 1)) {
