Do not pause the connection of a response that has ended

If a response ended meanwhile, and its caller stopped reading once more while the copy was written, the relay paused a connection that Node had taken from the response, outside any boundary.

Pausing a message that has ended does nothing now, and the part that runs after the wait has the boundary of the other callbacks, so that an exception ends its request alone. stream-slow-caller.test.ts ends its responses as Node does and stops reading twice: before, all cases ended the test's process with "Cannot read properties of null (reading 'pause')".

--- a/packages/connections/src/paused-reading.ts
+++ b/packages/connections/src/paused-reading.ts
@@ -15,6 +15,10 @@
  * message would buffer each by itself.
  */
 export function pauseReading(message: IncomingMessage, reason: PauseReason = 'pacing'): void {
+	if (message.readableEnded) {
+		return;
+	}
+
 	const pause = pauses.get(message) ?? {socket: message.socket, reasons: new Set()};
 	pause.reasons.add(reason);
 	pauses.set(message, pause);
--- a/packages/gateway/__tests__/relayed-stream.ts
+++ b/packages/gateway/__tests__/relayed-stream.ts
@@ -56,9 +56,8 @@
 		return Buffer.concat(this.#written).toString();
 	}
 
-	/** The caller has read everything, and reads on. */
+	/** The caller has read everything. */
 	drain(): void {
-		this.isReading = true;
 		this.#res.emit('drain');
 	}
 }
--- a/packages/gateway/__tests__/unit/stream-slow-caller.test.ts
+++ b/packages/gateway/__tests__/unit/stream-slow-caller.test.ts
@@ -48,6 +48,17 @@
 		t.ok(held <= (MAX_HELD_PER_BYTE * allBytes) + TOLERANCE_BYTES, `${held} bytes are held for ${allBytes}`);
 		for (const stream of relayed) {
 			stream.source.end();
+		}
+
+		await nextTurn();
+		for (const stream of relayed) {
+			// What was held is written, and the caller stops reading once more.
+			stream.drain();
+		}
+
+		await nextTurn();
+		for (const stream of relayed) {
+			stream.isReading = true;
 			stream.drain();
 		}
 
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -138,26 +138,28 @@
 			}
 
 			if (!isWritable) {
-				void pauseUntilDrained();
+				pauseUntilDrained();
 			}
 		};
 
 		/** Stops reading while the caller reads too slowly; the source is not to blame for that time. */
-		const pauseUntilDrained = async () => {
+		const pauseUntilDrained = () => {
 			isWaitingForCaller = true;
 			pauseReading(res, 'receiver');
 			onPaused();
 			clearTimeout(silenceTimer);
-			await callerResponse.drained();
-			if (!isFinished) {
-				isWaitingForCaller = false;
-				startSilenceTimer(silenceMs?.later);
-				relayed(forwardHeld)();
-			}
+			// Settles also if the caller disconnects, and never rejects.
+			void callerResponse.drained().then(relayed(resume));
 		};
 
 		/** Forwards what was received while the caller read too slowly, which may make it wait again. */
-		const forwardHeld = () => {
+		const resume = () => {
+			if (isFinished) {
+				return;
+			}
+
+			isWaitingForCaller = false;
+			startSilenceTimer(silenceMs?.later);
 			if (held.bytes > 0) {
 				forward(held.take());
 			}
--- a/packages/harness/src/scripted-response.ts
+++ b/packages/harness/src/scripted-response.ts
@@ -29,8 +29,11 @@
 		return true;
 	}
 
-	/** Ends the response as a complete one. */
+	/** Ends the response as a complete one; Node takes the socket from it then. */
 	end(): void {
+		this.res.once('end', () => {
+			Reflect.set(this.res, 'socket', null);
+		});
 		this.res.complete = true;
 		this.res.push(null);
 	}
